--- /dev/null
+++ b/modules/clementine_core/clementine_core.h
@@ -0,0 +1,15 @@
+/// The vocabulary that every other module shares: time, randomness, identity,
+/// typed results, bounded rings and the supervisor tree.
+///
+/// Needs no other module.
+#ifndef CLEMENTINE_CORE_H
+#define CLEMENTINE_CORE_H
+
+#include "clementine_core/concurrency/bounded_ring.h"
+#include "clementine_core/errors/result.h"
+#include "clementine_core/identity/identity.h"
+#include "clementine_core/random/random_source.h"
+#include "clementine_core/supervision/supervisor.h"
+#include "clementine_core/time/clock.h"
+
+#endif
--- /dev/null
+++ b/modules/clementine_core/identity/identity.h
@@ -0,0 +1,83 @@
+#ifndef CLEMENTINE_CORE_IDENTITY_IDENTITY_H
+#define CLEMENTINE_CORE_IDENTITY_IDENTITY_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace clementine {
+
+/// An IP number and a port.
+struct endpoint {
+  std::string Host;
+  std::uint16_t Port = 0;
+
+  auto operator<=>(const endpoint &) const = default;
+
+  /// @returns the form `host:port`.
+  std::string text() const;
+};
+
+/// Names one run of one node.
+///
+/// The name belongs to the VM's slot and outlives a restart. The incarnation
+/// rises with every start and every refutation, so that what was said of an
+/// earlier run is never taken for the present one.
+struct node_identity {
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+
+  auto operator<=>(const node_identity &) const = default;
+};
+
+/// A random 128-bit identifier of a request.
+struct request_id {
+  std::uint64_t High = 0;
+  std::uint64_t Low = 0;
+
+  auto operator<=>(const request_id &) const = default;
+
+  /// @returns 32 lower-case hexadecimal digits.
+  std::string text() const;
+
+  /// Reads 32 hexadecimal digits.
+  /// @returns false, leaving @p Id as it was, for any other text.
+  static bool parse(std::string_view Text, request_id &Id);
+};
+
+/// Hashes a request identifier for unordered containers.
+struct request_id_hash {
+  std::size_t operator()(const request_id &Id) const noexcept {
+    return static_cast<std::size_t>(Id.High ^ (Id.Low * 0x9e3779b97f4a7c15ULL));
+  }
+};
+
+/// Hashes a text to 64 bits, the same on every node and in every version.
+///
+/// FNV-1a (RFC draft eastlake-fnv) with a SplitMix64 finaliser. Not for
+/// secrets.
+std::uint64_t stableHash(std::string_view Text);
+
+/// How important a caller's operation is. Lower ranks are shed first; the order
+/// of the enumerators is the order of survival.
+enum class importance : std::uint8_t {
+  Critical = 0,
+  High = 1,
+  Normal = 2,
+  Low = 3,
+};
+
+/// How many levels of importance there are.
+constexpr std::size_t ImportanceLevels = 4;
+
+/// @returns the lower-case name of @p Level as the bundle writes it.
+std::string_view importanceName(importance Level);
+
+/// Reads a level's name.
+/// @returns false, leaving @p Level as it was, for an unknown name.
+bool parseImportance(std::string_view Name, importance &Level);
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_core/supervision/supervisor.cpp
@@ -0,0 +1,96 @@
+#include "clementine_core/supervision/supervisor.h"
+
+#include <algorithm>
+#include <cassert>
+#include <exception>
+#include <utility>
+
+#include <pthread.h>
+
+namespace clementine {
+
+namespace {
+
+/// The kernel's longest thread name, without the closing zero.
+constexpr std::size_t LongestThreadName = 15;
+
+} // namespace
+
+duty::duty(std::string Name, body_function Body, wake_function Wake,
+           escalation OnFault, restart_policy Policy)
+    : Name(std::move(Name)), Body(std::move(Body)), Wake(std::move(Wake)),
+      OnFault(std::move(OnFault)), Policy(Policy) {
+  assert(this->Body && "a duty needs a body");
+}
+
+duty::duty(std::string Name, body_function Body, wake_function Wake,
+           escalation OnFault)
+    : duty(std::move(Name), std::move(Body), std::move(Wake),
+           std::move(OnFault), restart_policy{}) {}
+
+duty::~duty() { duty::stop(); }
+
+void duty::start() {
+  assert(!Thread.joinable() && "a duty starts once");
+  Thread = std::thread([this] { runUntilStopped(); });
+  pthread_setname_np(Thread.native_handle(),
+                     Name.substr(0, LongestThreadName).c_str());
+}
+
+void duty::stop() {
+  Stopping = true;
+  if (Wake)
+    Wake();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void duty::runUntilStopped() {
+  std::vector<instant> Faults;
+  while (!Stopping) {
+    try {
+      Body(Stopping);
+      return;
+    } catch (const std::exception &Fault) {
+      if (!mayRestart(Faults)) {
+        if (OnFault)
+          OnFault(Name, Fault.what());
+        return;
+      }
+    }
+    std::this_thread::sleep_for(Policy.Pause);
+  }
+}
+
+bool duty::mayRestart(std::vector<instant> &Faults) const {
+  const instant Now = std::chrono::steady_clock::now();
+  std::erase_if(Faults,
+                [&](instant Fault) { return Now - Fault > Policy.Window; });
+  Faults.push_back(Now);
+  return Faults.size() <= Policy.MostRestarts;
+}
+
+supervisor::supervisor(std::string Name) : Name(std::move(Name)) {}
+
+supervisor::~supervisor() { supervisor::stop(); }
+
+void supervisor::add(std::shared_ptr<supervised> Child) {
+  assert(Started == 0 && "children are added before the start");
+  Children.push_back(std::move(Child));
+}
+
+void supervisor::start() {
+  for (const auto &Child : Children) {
+    Child->start();
+    ++Started;
+  }
+}
+
+void supervisor::stop() {
+  while (Started > 0) {
+    --Started;
+    Children[Started]->stop();
+  }
+}
+
+} // namespace clementine
