Bundle: text format, checks and policy lookup

Cause: nodes need one checked value that says how important a call is, what it may cost and whether it may run twice; operators need every mistake of a text at once, with line, section, key, value and what is allowed. Ruled out: Boost's INI reader, which forgets lines and stops at its first error; a table of every caller with every operation, whose memory grows with their product. The speed of decide() is not measured yet.

--- /dev/null
+++ b/modules/clementine_bundle/format/bundle_error.h
@@ -0,0 +1,60 @@
+#ifndef CLEMENTINE_BUNDLE_FORMAT_BUNDLE_ERROR_H
+#define CLEMENTINE_BUNDLE_FORMAT_BUNDLE_ERROR_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace clementine {
+
+/// What can be wrong with a bundle's text.
+enum class bundle_fault : std::uint8_t {
+  TextTooLarge,
+  TooManySections,
+  TooManyErrors,
+  MalformedLine,
+  KeyOutsideSection,
+  UnknownSection,
+  BadName,
+  DuplicateSection,
+  MissingSection,
+  UnknownKey,
+  DuplicateKey,
+  MissingKey,
+  BadValue,
+  UnknownReference,
+  EmptyRule,
+};
+
+/// One fault of a bundle's text, with all that its writer needs to mend it.
+struct bundle_error {
+  bundle_fault Fault = bundle_fault::MalformedLine;
+  /// The line in the text, counted from 1; 0 when the whole text is meant.
+  std::uint32_t Line = 0;
+  /// The section's header without its brackets; empty outside sections.
+  std::string Section;
+  /// The key; empty when the fault is in no single key.
+  std::string Key;
+  /// The value as written, cut to a readable length.
+  std::string Value;
+  /// What would be right here.
+  std::string Allowed;
+
+  auto operator<=>(const bundle_error &) const = default;
+
+  /// @returns one line for people: `line 12: [caller x] rate = 5x: bad value;
+  /// allowed: ...`.
+  std::string text() const;
+};
+
+/// All faults of one text in the order of their lines; never empty in a
+/// failed result.
+using bundle_errors = std::vector<bundle_error>;
+
+/// @returns a short phrase for @p Fault, such as `unknown key`.
+std::string_view faultName(bundle_fault Fault);
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_bundle/format/ini_document.h
@@ -0,0 +1,53 @@
+#ifndef CLEMENTINE_BUNDLE_FORMAT_INI_DOCUMENT_H
+#define CLEMENTINE_BUNDLE_FORMAT_INI_DOCUMENT_H
+
+#include "clementine_bundle/format/bundle_error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementine {
+
+/// One `key = value` line.
+struct ini_entry {
+  std::uint32_t Line = 0;
+  std::string_view Key;
+  std::string_view Value;
+};
+
+/// One `[section]` with its entries in the order of the text.
+struct ini_section {
+  std::uint32_t Line = 0;
+  /// The header's words: its kind, then the names.
+  std::vector<std::string_view> Words;
+  std::vector<ini_entry> Entries;
+
+  /// @returns the header without brackets, its words joined by one space.
+  std::string name() const;
+};
+
+/// INI text split into sections, with the line of each part.
+///
+/// Lines that begin with `;` or `#` are comments. Boost's INI reader was not
+/// taken, since it forgets the lines and stops at the first error. The views
+/// point into the text, which has to outlive the document.
+struct ini_document {
+  std::vector<ini_section> Sections;
+  /// The lines that are neither section, entry, comment nor blank.
+  bundle_errors Errors;
+
+  /// Splits @p Text. Never fails as a whole; see Errors.
+  static ini_document split(std::string_view Text);
+};
+
+/// The longest part of a value that an error repeats, in bytes.
+constexpr std::size_t LongestQuotedValue = 80;
+
+/// @returns @p Value cut to LongestQuotedValue, control characters replaced.
+std::string quotedValue(std::string_view Value);
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_bundle/model/bundle_builder.cpp
@@ -0,0 +1,419 @@
+#include "clementine_bundle/model/bundle_builder.h"
+
+#include "clementine_bundle/model/bundle_content.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace clementine {
+
+namespace {
+
+std::string allowedKeys(section_kind Kind) {
+  std::string Keys;
+  for (const key_rule &Rule : keyRules()) {
+    if (Rule.Section != Kind)
+      continue;
+    if (!Keys.empty())
+      Keys += ", ";
+    Keys += Rule.Key;
+  }
+  return Keys;
+}
+
+std::string allowedHeaders() {
+  std::string Headers;
+  for (const section_rule &Rule : sectionRules()) {
+    if (!Headers.empty())
+      Headers += ", ";
+    Headers += Rule.Header;
+  }
+  return Headers;
+}
+
+bool mayBeAnyName(section_kind Kind, std::size_t Place) {
+  constexpr std::size_t PlaceOfCaller = 1;
+  constexpr std::size_t PlaceOfOperation = 3;
+  return Kind == section_kind::Rule &&
+         (Place == PlaceOfCaller || Place == PlaceOfOperation);
+}
+
+std::string canonicalText(const ini_section &Section) {
+  std::vector<ini_entry> Entries = Section.Entries;
+  std::sort(Entries.begin(), Entries.end(),
+            [](const ini_entry &Left, const ini_entry &Right) {
+              return Left.Key < Right.Key;
+            });
+  std::string Text = "[" + Section.name() + "]\n";
+  for (const ini_entry &Entry : Entries) {
+    Text += Entry.Key;
+    Text += " = ";
+    Text += Entry.Value;
+    Text += '\n';
+  }
+  return Text + "\n";
+}
+
+policy_layer layerOf(const section_values &Values, section_index Section) {
+  return {Section, Values.Importance, Values.Deadline, Values.RetryBudget, {}};
+}
+
+caller_limits limitsOf(const section_values &Values,
+                       const caller_limits &Otherwise) {
+  return {Values.Rate.value_or(Otherwise.Rate),
+          Values.Concurrency.value_or(Otherwise.Concurrency),
+          Values.CostRate.value_or(Otherwise.CostRate)};
+}
+
+bool statesLimits(const section_values &Values) {
+  return Values.Rate || Values.Concurrency || Values.CostRate;
+}
+
+} // namespace
+
+result<bundle, bundle_errors> bundle::parse(std::string_view Text) {
+  if (Text.size() > MostBundleBytes)
+    return bundle_errors{{bundle_fault::TextTooLarge,
+                          0,
+                          {},
+                          {},
+                          std::to_string(Text.size()) + " bytes",
+                          std::to_string(MostBundleBytes) + " bytes"}};
+  bundle_builder Builder(Text);
+  return Builder.build();
+}
+
+bundle_builder::bundle_builder(std::string_view Text)
+    : Text(Text), Document(ini_document::split(Text)), Errors(Document.Errors),
+      Content(std::make_shared<bundle::content>()) {}
+
+result<bundle, bundle_errors> bundle_builder::build() {
+  if (Document.Sections.size() > MostBundleSections)
+    return bundle_errors{{bundle_fault::TooManySections,
+                          0,
+                          {},
+                          {},
+                          std::to_string(Document.Sections.size()),
+                          std::to_string(MostBundleSections)}};
+  checkSections();
+  checkRequiredSections();
+  checkReferences();
+  if (!Errors.empty())
+    return sortedErrors();
+  sortSections();
+  fillDefaults();
+  fillServices();
+  fillOperations();
+  fillCallers();
+  fillRules();
+  fillParts();
+  return bundle(Content);
+}
+
+void bundle_builder::report(bundle_fault Fault, const ini_section &Section,
+                            std::string Allowed) {
+  Errors.push_back({Fault,
+                    Section.Line,
+                    quotedValue(Section.name()),
+                    {},
+                    {},
+                    std::move(Allowed)});
+}
+
+void bundle_builder::report(bundle_fault Fault, const ini_section &Section,
+                            const ini_entry &Entry, std::string Allowed) {
+  Errors.push_back({Fault, Entry.Line, quotedValue(Section.name()),
+                    quotedValue(Entry.Key), quotedValue(Entry.Value),
+                    std::move(Allowed)});
+}
+
+bundle_errors bundle_builder::sortedErrors() {
+  std::stable_sort(Errors.begin(), Errors.end(),
+                   [](const bundle_error &Left, const bundle_error &Right) {
+                     return Left.Line < Right.Line;
+                   });
+  if (Errors.size() > MostBundleErrors) {
+    Errors.resize(MostBundleErrors);
+    Errors.push_back({bundle_fault::TooManyErrors, 0, {}, {}, {}, {}});
+  }
+  return std::move(Errors);
+}
+
+void bundle_builder::checkSections() {
+  Sections.reserve(Document.Sections.size());
+  for (const ini_section &Section : Document.Sections)
+    checkSection(Section);
+}
+
+void bundle_builder::checkSection(const ini_section &Section) {
+  // A header without its closing bracket is reported by the reader.
+  if (Section.Words.empty())
+    return;
+  if (!checkHeader(Section))
+    return;
+  checked_section Checked;
+  Checked.Source = &Section;
+  Checked.Rule = findSectionRule(Section.Words[0]);
+  checkEntries(Checked);
+  checkRequiredKeys(Checked);
+  if (Checked.Rule->Kind == section_kind::Rule)
+    checkRuleEntries(Checked);
+  Checked.Part.Kind = Checked.Rule->Kind;
+  Checked.Part.Name = Section.name();
+  Sections.push_back(std::move(Checked));
+}
+
+bool bundle_builder::checkHeader(const ini_section &Section) {
+  const section_rule *Rule = findSectionRule(Section.Words[0]);
+  if (Rule == nullptr || Section.Words.size() != Rule->Names + 1) {
+    report(bundle_fault::UnknownSection, Section,
+           Rule == nullptr ? allowedHeaders() : std::string(Rule->Header));
+    return false;
+  }
+  for (std::size_t Place = 1; Place < Section.Words.size(); ++Place) {
+    const std::string_view Name = Section.Words[Place];
+    const bool MayBeAny = mayBeAnyName(Rule->Kind, Place);
+    if (isValidName(Name) || (MayBeAny && Name == AnyName))
+      continue;
+    report(bundle_fault::BadName, Section,
+           std::string(AllowedName) + (MayBeAny ? "; or *" : ""));
+    return false;
+  }
+  const auto [First, Added] =
+      LineOfSection.try_emplace(Section.name(), Section.Line);
+  if (Added)
+    return true;
+  report(bundle_fault::DuplicateSection, Section,
+         "one such section; the first is on line " +
+             std::to_string(First->second));
+  return false;
+}
+
+void bundle_builder::checkEntries(checked_section &Section) {
+  for (const ini_entry &Entry : Section.Source->Entries)
+    checkEntry(Section, Entry);
+}
+
+void bundle_builder::checkEntry(checked_section &Section,
+                                const ini_entry &Entry) {
+  const section_kind Kind = Section.Rule->Kind;
+  const key_rule *Rule = findKeyRule(Kind, Entry.Key);
+  if (Rule == nullptr) {
+    report(bundle_fault::UnknownKey, *Section.Source, Entry, allowedKeys(Kind));
+    return;
+  }
+  const auto &Entries = Section.Source->Entries;
+  const auto First =
+      std::find_if(Entries.begin(), Entries.end(), [&](const ini_entry &Other) {
+        return Other.Key == Entry.Key;
+      });
+  if (First->Line != Entry.Line) {
+    report(bundle_fault::DuplicateKey, *Section.Source, Entry,
+           "one such key; the first is on line " + std::to_string(First->Line));
+    return;
+  }
+  if (!Rule->Store(Entry.Value, Section.Values))
+    report(bundle_fault::BadValue, *Section.Source, Entry,
+           std::string(Rule->Allowed));
+}
+
+void bundle_builder::checkRequiredKeys(const checked_section &Section) {
+  const auto &Entries = Section.Source->Entries;
+  for (const key_rule &Rule : keyRules()) {
+    if (Rule.Section != Section.Rule->Kind || !Rule.Required)
+      continue;
+    const bool Stated = std::any_of(
+        Entries.begin(), Entries.end(),
+        [&](const ini_entry &Entry) { return Entry.Key == Rule.Key; });
+    if (Stated)
+      continue;
+    Errors.push_back({bundle_fault::MissingKey,
+                      Section.Source->Line,
+                      Section.Source->name(),
+                      std::string(Rule.Key),
+                      {},
+                      std::string(Rule.Allowed)});
+  }
+}
+
+void bundle_builder::checkRuleEntries(const checked_section &Section) {
+  const ini_section &Source = *Section.Source;
+  if (Source.Entries.empty())
+    report(bundle_fault::EmptyRule, Source, allowedKeys(section_kind::Rule));
+  const bool NamesCaller = Source.Words[1] != AnyName;
+  if (NamesCaller || !statesLimits(Section.Values))
+    return;
+  report(bundle_fault::UnknownKey, Source,
+         "rate, concurrency and cost only in a rule that names its caller");
+}
+
+void bundle_builder::checkRequiredSections() {
+  for (const section_rule &Rule : sectionRules()) {
+    if (!Rule.Required || LineOfSection.contains(std::string(Rule.Word)))
+      continue;
+    Errors.push_back({bundle_fault::MissingSection,
+                      0,
+                      std::string(Rule.Word),
+                      {},
+                      {},
+                      std::string(Rule.Header)});
+  }
+}
+
+void bundle_builder::checkReferences() {
+  for (const checked_section &Section : Sections)
+    checkReference(Section);
+}
+
+void bundle_builder::checkReference(const checked_section &Section) {
+  const auto &Words = Section.Source->Words;
+  const auto Require = [&](const std::string &Name) {
+    if (!isKnown(Name))
+      report(bundle_fault::UnknownReference, *Section.Source,
+             "a name that has its own section [" + Name + "]");
+  };
+  if (Section.Rule->Kind == section_kind::Operation)
+    Require("service " + std::string(Words[1]));
+  if (Section.Rule->Kind != section_kind::Rule)
+    return;
+  if (Words[1] != AnyName)
+    Require("caller " + std::string(Words[1]));
+  const std::string Service(Words[2]);
+  if (Words[3] == AnyName)
+    Require("service " + Service);
+  else
+    Require("operation " + Service + " " + std::string(Words[3]));
+}
+
+bool bundle_builder::isKnown(const std::string &SectionName) const {
+  return LineOfSection.contains(SectionName);
+}
+
+void bundle_builder::sortSections() {
+  std::sort(Sections.begin(), Sections.end(),
+            [](const checked_section &Left, const checked_section &Right) {
+              return std::tie(Left.Part.Kind, Left.Part.Name) <
+                     std::tie(Right.Part.Kind, Right.Part.Name);
+            });
+  for (checked_section &Section : Sections) {
+    Section.Part.Text = canonicalText(*Section.Source);
+    Section.Part.Digest = sha256(Section.Part.Text);
+  }
+}
+
+void bundle_builder::fillDefaults() {
+  for (section_index Index = 0; Index < Sections.size(); ++Index) {
+    const checked_section &Section = Sections[Index];
+    if (Section.Rule->Kind == section_kind::Bundle)
+      Content->Name = *Section.Values.Name;
+    if (Section.Rule->Kind != section_kind::Defaults)
+      continue;
+    Defaults = Section.Values;
+    Content->Defaults = layerOf(Defaults, Index);
+  }
+}
+
+void bundle_builder::fillServices() {
+  for (const checked_section &Section : Sections)
+    if (Section.Rule->Kind == section_kind::Service)
+      Content->Services.emplace_back(Section.Source->Words[1]);
+  for (std::uint32_t Index = 0; Index < Content->Services.size(); ++Index)
+    Content->ServiceByName.emplace(Content->Services[Index], Index);
+}
+
+void bundle_builder::fillOperations() {
+  for (section_index Index = 0; Index < Sections.size(); ++Index) {
+    const checked_section &Section = Sections[Index];
+    if (Section.Rule->Kind != section_kind::Operation)
+      continue;
+    const auto &Words = Section.Source->Words;
+    const section_values &Values = Section.Values;
+    const operation_policy Otherwise;
+    Content->Operations.push_back(
+        {std::string(Words[1]), std::string(Words[2]), *Values.Repeatable,
+         Values.Cost.value_or(Otherwise.Cost),
+         Values.Deadline.value_or(
+             Defaults.Deadline.value_or(Otherwise.Deadline)),
+         Index});
+    Content->OperationLayers.push_back(
+        {layerOf(Values, Index), Content->ServiceByName.at(Words[1]),
+         Values.Cost ? Index : BuiltIn, NoRule, NoRule});
+  }
+  for (std::uint32_t Index = 0; Index < Content->Operations.size(); ++Index) {
+    const operation_entry &Entry = Content->Operations[Index];
+    Content->OperationByName.emplace(operation_name{Entry.Service, Entry.Name},
+                                     Index);
+  }
+}
+
+void bundle_builder::fillCallers() {
+  const operation_policy Otherwise;
+  const caller_limits DefaultLimits = limitsOf(Defaults, {});
+  for (section_index Index = 0; Index < Sections.size(); ++Index) {
+    const checked_section &Section = Sections[Index];
+    if (Section.Rule->Kind != section_kind::Caller)
+      continue;
+    const section_values &Values = Section.Values;
+    Content->Callers.push_back(
+        {std::string(Section.Source->Words[1]), *Values.Owner,
+         Values.Importance.value_or(
+             Defaults.Importance.value_or(Otherwise.Importance)),
+         Values.RetryBudget.value_or(
+             Defaults.RetryBudget.value_or(Otherwise.RetryBudget)),
+         limitsOf(Values, DefaultLimits), Index});
+    Content->CallerLayers.push_back({layerOf(Values, Index), false});
+  }
+  for (std::uint32_t Index = 0; Index < Content->Callers.size(); ++Index)
+    Content->CallerByName.emplace(Content->Callers[Index].Name, Index);
+}
+
+void bundle_builder::fillRules() {
+  for (section_index Index = 0; Index < Sections.size(); ++Index)
+    if (Sections[Index].Rule->Kind == section_kind::Rule)
+      fillRule(Sections[Index], Index);
+}
+
+void bundle_builder::fillRule(const checked_section &Section,
+                              section_index Index) {
+  const auto &Words = Section.Source->Words;
+  const auto Number = static_cast<std::uint32_t>(Content->Rules.size());
+  policy_layer Layer = layerOf(Section.Values, Index);
+  if (statesLimits(Section.Values))
+    Layer.Limits = limitsOf(Section.Values, {});
+  Content->Rules.push_back(Layer);
+
+  const bool AnyOperation = Words[3] == AnyName;
+  const std::uint32_t Service = Content->ServiceByName.at(Words[2]);
+  if (Words[1] != AnyName) {
+    const std::uint32_t Caller = Content->CallerByName.at(Words[1]);
+    Content->CallerLayers[Caller].HasRules = true;
+    const std::uint64_t Key =
+        AnyOperation
+            ? bundle::content::serviceKey(Caller, Service)
+            : bundle::content::operationKey(
+                  Caller, Content->OperationByName.at({Words[2], Words[3]}));
+    Content->RuleByCall.emplace(Key, Number);
+    return;
+  }
+  if (!AnyOperation) {
+    const auto Operation = Content->OperationByName.at({Words[2], Words[3]});
+    Content->OperationLayers[Operation].AnyCaller = Number;
+    return;
+  }
+  for (auto &Operation : Content->OperationLayers)
+    if (Operation.Service == Service)
+      Operation.AnyCallerAnyOperation = Number;
+}
+
+void bundle_builder::fillParts() {
+  std::string Digests;
+  Content->Parts.reserve(Sections.size());
+  for (checked_section &Section : Sections) {
+    Digests += Section.Part.Digest.bytes();
+    Content->Parts.push_back(std::move(Section.Part));
+  }
+  Content->Digest = sha256(Digests);
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_bundle/model/bundle_builder.h
@@ -0,0 +1,72 @@
+#ifndef CLEMENTINE_BUNDLE_MODEL_BUNDLE_BUILDER_H
+#define CLEMENTINE_BUNDLE_MODEL_BUNDLE_BUILDER_H
+
+#include "clementine_bundle/format/ini_document.h"
+#include "clementine_bundle/model/bundle.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace clementine {
+
+/// Checks a split text section by section, then builds the bundle's tables.
+/// Used once by bundle::parse(); not copyable.
+class bundle_builder {
+public:
+  explicit bundle_builder(std::string_view Text);
+
+  bundle_builder(const bundle_builder &) = delete;
+  bundle_builder &operator=(const bundle_builder &) = delete;
+
+  /// @returns the bundle, or every error in the order of the lines.
+  result<bundle, bundle_errors> build();
+
+private:
+  /// A section whose header is right.
+  struct checked_section {
+    const ini_section *Source = nullptr;
+    const section_rule *Rule = nullptr;
+    section_values Values;
+    bundle_part Part;
+  };
+
+  void report(bundle_fault Fault, const ini_section &Section,
+              std::string Allowed);
+  void report(bundle_fault Fault, const ini_section &Section,
+              const ini_entry &Entry, std::string Allowed);
+  bundle_errors sortedErrors();
+
+  void checkSections();
+  void checkSection(const ini_section &Section);
+  bool checkHeader(const ini_section &Section);
+  void checkEntries(checked_section &Section);
+  void checkEntry(checked_section &Section, const ini_entry &Entry);
+  void checkRequiredKeys(const checked_section &Section);
+  void checkRequiredSections();
+  void checkRuleEntries(const checked_section &Section);
+  void checkReferences();
+  void checkReference(const checked_section &Section);
+  bool isKnown(const std::string &SectionName) const;
+
+  void sortSections();
+  void fillDefaults();
+  void fillServices();
+  void fillOperations();
+  void fillCallers();
+  void fillRules();
+  void fillRule(const checked_section &Section, section_index Index);
+  void fillParts();
+
+  const std::string_view Text;
+  const ini_document Document;
+  bundle_errors Errors;
+  std::vector<checked_section> Sections;
+  /// Each right header and the line of its first section.
+  std::unordered_map<std::string, std::uint32_t> LineOfSection;
+  section_values Defaults;
+  std::shared_ptr<bundle::content> Content;
+};
+
+} // namespace clementine
+
+#endif
