Messages between nodes and their encoding

Cause: nodes need typed messages over TCP; cereal's own string reader reserves whatever length the bytes claim. Ruled out: cereal's string and vector support as it is, since a forged length of some gigabytes would be reserved before the read fails.

--- /dev/null
+++ b/modules/clementine_wire/clementine_wire.h
@@ -0,0 +1,10 @@
+/// The messages that nodes exchange over TCP, and their encoding.
+///
+/// Needs clementine_core.
+#ifndef CLEMENTINE_WIRE_H
+#define CLEMENTINE_WIRE_H
+
+#include "clementine_wire/codec/message_codec.h"
+#include "clementine_wire/messages/messages.h"
+
+#endif
