Security: shared keys with rotation, and a replay window

Cause: frames and datagrams between nodes need to be authenticated with keys from the settings that can be rotated without a stop, and replayed datagrams have to be refused in bounded memory. Ruled out: one key (no rotation), a whole HMAC of 32 bytes on each small datagram (16 are enough, RFC 4868), a context made for each tag. Change: clementine_security with peer_key_ring (first key signs, all verify, contexts reused, CRYPTO_memcmp) and replay_window (64 numbers per sender and epoch, least recently heard sender forgotten first). Conclusion: ready to be used by frames and datagrams.

--- /dev/null
+++ b/modules/clementine_security/clementine_security.h
@@ -0,0 +1,11 @@
+/// Authentication between nodes: shared keys that can be rotated without a
+/// stop, message tags, and protection against replayed messages.
+///
+/// Needs clementine_core and OpenSSL's libcrypto.
+#ifndef CLEMENTINE_SECURITY_H
+#define CLEMENTINE_SECURITY_H
+
+#include "clementine_security/keys/peer_key_ring.h"
+#include "clementine_security/replay/replay_window.h"
+
+#endif
