Transport between nodes: authenticated sessions over TCP, a UDP socket

Cause: nodes have to reach each other over connections that may be forged, replayed, or silent for good. Ruled out: own epoll loops; Boost.Asio brings sockets, timers and the idiom of connections that keep themselves alive by shared ownership. Change: peer_session (free of I/O: nonces, numbered and tagged frames, heartbeats, caps), peer_transport and gossip_socket, each on its own thread. Conclusion: the engine can trust the sender and the order of what it gets.

--- /dev/null
+++ b/modules/clementine_transport/peers/peer_transport.cpp
@@ -0,0 +1,429 @@
+#include "clementine_transport/peers/peer_transport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+namespace clementine {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr std::size_t ReadBytes = 64U << 10U;
+/// How often links are looked at for heartbeats and silence.
+constexpr std::chrono::milliseconds TickInterval{50};
+/// How long the transport waits before it offers an event again.
+constexpr std::chrono::milliseconds OfferInterval{1};
+/// How long the acceptor rests after a failure such as too many open files.
+constexpr std::chrono::milliseconds AcceptPause{100};
+
+struct open_command {
+  link_id Link = 0;
+  endpoint Remote;
+};
+
+struct send_command {
+  link_id Link = 0;
+  peer_message Message;
+};
+
+struct close_command {
+  link_id Link = 0;
+};
+
+using command = std::variant<open_command, send_command, close_command>;
+
+/// What a connection tells the transport.
+class connection_owner {
+public:
+  virtual ~connection_owner() = default;
+  virtual void connectionUp(link_id Link, const node_identity &Peer) = 0;
+  virtual void connectionDown(link_id Link, bool WasUp) = 0;
+  virtual void connectionMessage(link_id Link, peer_message Message) = 0;
+  /// @returns whether reading should pause.
+  virtual bool isCongested() const = 0;
+};
+
+/// One socket and its session; pending operations share its ownership.
+class peer_connection final
+    : public std::enable_shared_from_this<peer_connection> {
+public:
+  peer_connection(link_id Link, tcp::socket Socket,
+                  std::unique_ptr<peer_session> Session, const clock &Clock,
+                  connection_owner &Owner)
+      : Link(Link), Socket(std::move(Socket)), Session(std::move(Session)),
+        Clock(Clock), Owner(Owner) {}
+
+  peer_connection(const peer_connection &) = delete;
+  peer_connection &operator=(const peer_connection &) = delete;
+
+  void dial(const tcp::endpoint &Remote) {
+    Socket.async_connect(Remote,
+                         [Self = shared_from_this()](const auto &Error) {
+                           if (Error)
+                             Self->close();
+                           else
+                             Self->begin();
+                         });
+  }
+
+  void begin() {
+    boost::system::error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    Connected = true;
+    read();
+    write();
+  }
+
+  void send(const peer_message &Message) {
+    if (Closed)
+      return;
+    // A peer that lets this much pile up is as good as gone.
+    if (!Session->send(Message))
+      close();
+    else
+      write();
+  }
+
+  void tick() {
+    if (Closed)
+      return;
+    if (Session->tick(Clock.now()).has_error())
+      close();
+    else
+      write();
+  }
+
+  void resumeReading() {
+    if (!Paused || Closed)
+      return;
+    Paused = false;
+    read();
+  }
+
+  void close() {
+    if (Closed)
+      return;
+    Closed = true;
+    boost::system::error_code Ignored;
+    Socket.close(Ignored);
+    Owner.connectionDown(Link, AnnouncedUp);
+  }
+
+private:
+  void read() {
+    if (Owner.isCongested()) {
+      Paused = true;
+      return;
+    }
+    Socket.async_read_some(
+        asio::buffer(ReadBuffer),
+        [Self = shared_from_this()](const auto &Error, std::size_t Count) {
+          Self->finishRead(Error, Count);
+        });
+  }
+
+  void finishRead(const boost::system::error_code &Error, std::size_t Count) {
+    if (Closed)
+      return;
+    if (Error) {
+      close();
+      return;
+    }
+    auto Messages = Session->receive({ReadBuffer.data(), Count}, Clock.now());
+    if (Messages.has_error()) {
+      close();
+      return;
+    }
+    announceUp();
+    for (peer_message &Message : Messages.value())
+      Owner.connectionMessage(Link, std::move(Message));
+    write();
+    read();
+  }
+
+  void announceUp() {
+    if (AnnouncedUp || !Session->peer())
+      return;
+    AnnouncedUp = true;
+    Owner.connectionUp(Link, *Session->peer());
+  }
+
+  void write() {
+    if (Writing || !Connected || Closed || Session->output().empty())
+      return;
+    Writing = true;
+    // The session may move its bytes while more are added, so a copy is sent.
+    Sending.assign(Session->output());
+    Session->consumeOutput(Sending.size());
+    SendingWritten = 0;
+    writeRest();
+  }
+
+  void writeRest() {
+    Socket.async_write_some(
+        asio::buffer(Sending.data() + SendingWritten,
+                     Sending.size() - SendingWritten),
+        [Self = shared_from_this()](const auto &Error, std::size_t Count) {
+          Self->finishWrite(Error, Count);
+        });
+  }
+
+  void finishWrite(const boost::system::error_code &Error, std::size_t Count) {
+    if (Closed)
+      return;
+    if (Error) {
+      close();
+      return;
+    }
+    SendingWritten += Count;
+    if (SendingWritten < Sending.size()) {
+      writeRest();
+      return;
+    }
+    Writing = false;
+    write();
+  }
+
+  const link_id Link;
+  tcp::socket Socket;
+  std::unique_ptr<peer_session> Session;
+  const clock &Clock;
+  connection_owner &Owner;
+  std::array<char, ReadBytes> ReadBuffer{};
+  std::string Sending;
+  std::size_t SendingWritten = 0;
+  bool Connected = false;
+  bool Writing = false;
+  bool Paused = false;
+  bool AnnouncedUp = false;
+  bool Closed = false;
+};
+
+} // namespace
+
+/// Everything below runs on the transport's thread, but for the commands.
+class peer_transport::implementation final : public connection_owner {
+public:
+  implementation(peer_transport_settings Settings, node_identity Self,
+                 const peer_key_ring &Keys, std::uint64_t RandomSeed,
+                 const clock &Clock, peer_link_listener &Listener)
+      : Settings(std::move(Settings)), Self(std::move(Self)), Keys(Keys),
+        Random(RandomSeed), Clock(Clock), Listener(Listener),
+        Commands(this->Settings.CommandCapacity,
+                 [this] { asio::post(Context, [this] { takeCommands(); }); }),
+        Acceptor(Context), AcceptTimer(Context), TickTimer(Context),
+        OfferTimer(Context), Duty(
+                                 "peers",
+                                 [this](const std::atomic<bool> &) {
+                                   Context.restart();
+                                   Context.run();
+                                 },
+                                 [this] { Context.stop(); }, {}) {}
+
+  void start() {
+    const tcp::endpoint Local(asio::ip::make_address(Settings.Listen.Host),
+                              Settings.Listen.Port);
+    Acceptor.open(Local.protocol());
+    Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor.bind(Local);
+    Acceptor.listen();
+    accept();
+    scheduleTick();
+    Duty.start();
+  }
+
+  void stop() {
+    Commands.close();
+    Duty.stop();
+    boost::system::error_code Ignored;
+    Acceptor.close(Ignored);
+  }
+
+  void push(command Command) {
+    // Commands come from the engine, which must never lose one; the ring is
+    // larger than what the engine may have in flight.
+    while (!Commands.tryPush(std::move(Command))) {
+      if (Commands.isClosed())
+        return;
+      std::this_thread::sleep_for(OfferInterval);
+    }
+  }
+
+  const std::string &name() const { return Duty.name(); }
+
+  void connectionUp(link_id Link, const node_identity &Peer) override {
+    offer([this, Link, Peer] { return Listener.linkUp(Link, Peer); });
+  }
+
+  void connectionDown(link_id Link, bool WasUp) override {
+    offer([this, Link, WasUp] { return Listener.linkDown(Link, WasUp); });
+    // The connection is still on the stack; it is released afterwards.
+    asio::post(Context, [this, Link] { Links.erase(Link); });
+  }
+
+  void connectionMessage(link_id Link, peer_message Message) override {
+    offer([this, Link,
+           Held = std::make_shared<peer_message>(std::move(Message))]() {
+      return Listener.messageArrived(Link, *Held);
+    });
+  }
+
+  bool isCongested() const override { return !Waiting.empty(); }
+
+private:
+  using offer_function = std::function<bool()>;
+
+  /// Events keep their order: one that is refused holds back all later ones.
+  void offer(offer_function Event) {
+    if (Waiting.empty() && Event())
+      return;
+    Waiting.push_back(std::move(Event));
+    if (Waiting.size() == 1)
+      scheduleOffer();
+  }
+
+  void scheduleOffer() {
+    OfferTimer.expires_after(OfferInterval);
+    OfferTimer.async_wait([this](const auto &Error) {
+      if (!Error)
+        offerWaiting();
+    });
+  }
+
+  void offerWaiting() {
+    while (!Waiting.empty()) {
+      if (!Waiting.front()()) {
+        scheduleOffer();
+        return;
+      }
+      Waiting.pop_front();
+    }
+    for (const auto &[Link, Connection] : Links)
+      Connection->resumeReading();
+  }
+
+  void scheduleTick() {
+    TickTimer.expires_after(TickInterval);
+    TickTimer.async_wait([this](const auto &Error) {
+      if (Error)
+        return;
+      const auto Current = Links;
+      for (const auto &[Link, Connection] : Current)
+        Connection->tick();
+      scheduleTick();
+    });
+  }
+
+  void accept() {
+    Acceptor.async_accept([this](const auto &Error, tcp::socket Socket) {
+      if (Error == asio::error::operation_aborted)
+        return;
+      if (Error) {
+        AcceptTimer.expires_after(AcceptPause);
+        AcceptTimer.async_wait([this](const auto &) { accept(); });
+        return;
+      }
+      if (Links.size() < Settings.MostLinks)
+        add(NextAccepted++, std::move(Socket), peer_session::side::Acceptor)
+            ->begin();
+      accept();
+    });
+  }
+
+  std::shared_ptr<peer_connection> add(link_id Link, tcp::socket Socket,
+                                       peer_session::side Side) {
+    auto Session = std::make_unique<peer_session>(
+        Side, Self, Keys, Random, Settings.Session, Clock.now());
+    auto Connection = std::make_shared<peer_connection>(
+        Link, std::move(Socket), std::move(Session), Clock, *this);
+    Links[Link] = Connection;
+    return Connection;
+  }
+
+  void takeCommands() {
+    for (command &Command : Commands.takeAll(duration::zero()))
+      std::visit([this](auto &Kind) { execute(Kind); }, Command);
+  }
+
+  void execute(const open_command &Open) {
+    boost::system::error_code Error;
+    const auto Address = asio::ip::make_address(Open.Remote.Host, Error);
+    if (Error || Links.size() >= Settings.MostLinks) {
+      connectionDown(Open.Link, false);
+      return;
+    }
+    add(Open.Link, tcp::socket(Context), peer_session::side::Dialler)
+        ->dial({Address, Open.Remote.Port});
+  }
+
+  void execute(const send_command &Send) {
+    if (const auto Found = Links.find(Send.Link); Found != Links.end())
+      std::shared_ptr(Found->second)->send(Send.Message);
+  }
+
+  void execute(const close_command &Close) {
+    if (const auto Found = Links.find(Close.Link); Found != Links.end())
+      std::shared_ptr(Found->second)->close();
+  }
+
+  const peer_transport_settings Settings;
+  const node_identity Self;
+  const peer_key_ring Keys;
+  seeded_random Random;
+  const clock &Clock;
+  peer_link_listener &Listener;
+  asio::io_context Context;
+  bounded_ring<command> Commands;
+  tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
+  asio::steady_timer TickTimer;
+  asio::steady_timer OfferTimer;
+  std::unordered_map<link_id, std::shared_ptr<peer_connection>> Links;
+  std::deque<offer_function> Waiting;
+  link_id NextAccepted = FirstAcceptedLink;
+  duty Duty;
+};
+
+peer_transport::peer_transport(peer_transport_settings Settings,
+                               node_identity Self, const peer_key_ring &Keys,
+                               std::uint64_t RandomSeed, const clock &Clock,
+                               peer_link_listener &Listener)
+    : Implementation(
+          std::make_shared<implementation>(std::move(Settings), std::move(Self),
+                                           Keys, RandomSeed, Clock, Listener)) {
+}
+
+peer_transport::~peer_transport() { peer_transport::stop(); }
+
+const std::string &peer_transport::name() const {
+  return Implementation->name();
+}
+
+void peer_transport::start() { Implementation->start(); }
+
+void peer_transport::stop() { Implementation->stop(); }
+
+void peer_transport::open(link_id Link, const endpoint &Remote) {
+  Implementation->push(open_command{Link, Remote});
+}
+
+void peer_transport::send(link_id Link, peer_message Message) {
+  Implementation->push(send_command{Link, std::move(Message)});
+}
+
+void peer_transport::close(link_id Link) {
+  Implementation->push(close_command{Link});
+}
+
+} // namespace clementine
--- /dev/null
+++ b/tests/transport/test_peer_session.cpp
@@ -0,0 +1,136 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "clementine_transport/session/peer_session.h"
+
+using namespace clementine;
+using namespace std::chrono_literals;
+
+namespace {
+
+peer_key_ring ringOf(char Letter) {
+  peer_key Key;
+  Key.Id = std::string(1, Letter);
+  Key.Bytes.fill(static_cast<std::byte>(Letter));
+  return peer_key_ring::make({Key}).value();
+}
+
+/// Two sessions whose bytes a test carries by hand.
+struct pair_of_sessions {
+  explicit pair_of_sessions(char DiallerKey = 'k', char AcceptorKey = 'k')
+      : Dialler(peer_session::side::Dialler, {"node-a", 1}, ringOf(DiallerKey),
+                Random, {}, Start),
+        Acceptor(peer_session::side::Acceptor, {"node-b", 2},
+                 ringOf(AcceptorKey), Random, {}, Start) {}
+
+  static std::string take(peer_session &Session) {
+    const std::string Bytes(Session.output());
+    Session.consumeOutput(Bytes.size());
+    return Bytes;
+  }
+
+  void shakeHands() {
+    REQUIRE(Acceptor.receive(take(Dialler), Start).has_value());
+    REQUIRE(Dialler.receive(take(Acceptor), Start).has_value());
+  }
+
+  seeded_random Random{1};
+  instant Start{};
+  peer_session Dialler;
+  peer_session Acceptor;
+};
+
+} // namespace
+
+TEST_CASE("messages wait for the hello and arrive in order, byte by byte") {
+  pair_of_sessions Pair;
+  CHECK(Pair.Dialler.send(run_cancel{{1, 1}}));
+  CHECK(Pair.Dialler.send(run_cancel{{2, 2}}));
+  Pair.shakeHands();
+  CHECK(Pair.Acceptor.peer() == node_identity{"node-a", 1});
+  CHECK(Pair.Dialler.peer() == node_identity{"node-b", 2});
+  std::vector<peer_message> Arrived;
+  for (const char Byte : pair_of_sessions::take(Pair.Dialler)) {
+    auto Messages = Pair.Acceptor.receive({&Byte, 1}, Pair.Start).value();
+    Arrived.insert(Arrived.end(), Messages.begin(), Messages.end());
+  }
+  CHECK(Arrived ==
+        std::vector<peer_message>{run_cancel{{1, 1}}, run_cancel{{2, 2}}});
+}
+
+TEST_CASE("a node with another key is refused") {
+  pair_of_sessions Pair('k', 'x');
+  const auto Heard =
+      Pair.Acceptor.receive(pair_of_sessions::take(Pair.Dialler), Pair.Start);
+  CHECK(Heard.error() == session_error::BadTag);
+}
+
+TEST_CASE("replayed, reordered, damaged and foreign frames are refused") {
+  pair_of_sessions Pair;
+  Pair.shakeHands();
+  Pair.Dialler.send(run_cancel{{1, 1}});
+  const std::string First = pair_of_sessions::take(Pair.Dialler);
+  Pair.Dialler.send(run_cancel{{2, 2}});
+  const std::string Second = pair_of_sessions::take(Pair.Dialler);
+  SUBCASE("replayed") {
+    CHECK(Pair.Acceptor.receive(First, Pair.Start).has_value());
+    CHECK(Pair.Acceptor.receive(First, Pair.Start).error() ==
+          session_error::BadTag);
+  }
+  SUBCASE("reordered") {
+    CHECK(Pair.Acceptor.receive(Second, Pair.Start).error() ==
+          session_error::BadTag);
+  }
+  SUBCASE("damaged") {
+    std::string Damaged = First;
+    Damaged.back() = static_cast<char>(Damaged.back() ^ 1);
+    CHECK(Pair.Acceptor.receive(Damaged, Pair.Start).error() ==
+          session_error::BadTag);
+  }
+  SUBCASE("from another connection") {
+    pair_of_sessions Other;
+    Other.Random = seeded_random(99);
+    seeded_random OtherRandom(99);
+    peer_session Dialler(peer_session::side::Dialler, {"node-a", 1},
+                         ringOf('k'), OtherRandom, {}, Pair.Start);
+    peer_session Acceptor(peer_session::side::Acceptor, {"node-b", 2},
+                          ringOf('k'), OtherRandom, {}, Pair.Start);
+    REQUIRE(Acceptor.receive(pair_of_sessions::take(Dialler), Pair.Start)
+                .has_value());
+    CHECK(Acceptor.receive(First, Pair.Start).error() == session_error::BadTag);
+  }
+}
+
+TEST_CASE("a frame above the largest message is refused before it is read") {
+  pair_of_sessions Pair;
+  const std::string Header(24, '\xff');
+  CHECK(Pair.Acceptor.receive(Header, Pair.Start).error() ==
+        session_error::FrameTooLarge);
+}
+
+TEST_CASE("heartbeats keep a quiet connection; silence ends it") {
+  pair_of_sessions Pair;
+  Pair.shakeHands();
+  instant Now = Pair.Start;
+  for (int Beat = 0; Beat < 20; ++Beat) {
+    Now += 300ms;
+    REQUIRE(Pair.Dialler.tick(Now).has_value());
+    REQUIRE(Pair.Acceptor.tick(Now).has_value());
+    REQUIRE(Pair.Acceptor.receive(pair_of_sessions::take(Pair.Dialler), Now)
+                .has_value());
+    REQUIRE(Pair.Dialler.receive(pair_of_sessions::take(Pair.Acceptor), Now)
+                .has_value());
+  }
+  Now += 901ms;
+  CHECK(Pair.Dialler.tick(Now).error() == session_error::Silent);
+}
+
+TEST_CASE("a session refuses to hold more than its cap") {
+  pair_of_sessions Pair;
+  run_answer Large;
+  Large.Answer.Body.resize(LargestBody);
+  int Taken = 0;
+  while (Taken < 100 && Pair.Dialler.send(Large))
+    ++Taken;
+  CHECK(Taken == 7);
+}
