Admission: gate, queue, learned limiter and levels

Cause: the node needs one place that decides what runs on its upstream, with refusals that are certain and strict by importance. Ruled out: a queue in the upstream (cannot be reordered, and a refusal from it is not certain); limits from the upstream's load endpoint (it lags and misleads); a level per window as the only gate, as in DAGOR (it lets in lesser requests between two windows).

--- /dev/null
+++ b/modules/clementine_admission/gate/admission_gate.cpp
@@ -0,0 +1,191 @@
+#include "clementine_admission/gate/admission_gate.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <utility>
+
+namespace clementine {
+
+admission_gate::admission_gate(admission_gate_settings Settings,
+                               std::unique_ptr<concurrency_limiter> Limiter)
+    : Settings(Settings), Limiter(std::move(Limiter)),
+      Queue(Settings.OrdersByRank) {
+  assert(this->Limiter && "a gate needs a limiter");
+}
+
+offer_decision admission_gate::offer(const admission_ticket &Ticket,
+                                     instant Now) {
+  const admission_rank Rank = Ticket.rank();
+  Tracker.onOffer(Rank, Now);
+  if (Draining)
+    return refuse(Ticket, refusal_reason::Draining, Now);
+  if (Running.contains(Ticket.RequestId) || Queue.contains(Ticket.RequestId))
+    return refuse(Ticket, refusal_reason::AlreadyPresent, Now);
+  if (!canFinish(Ticket, Queue.countBefore(Rank), Now))
+    return refuse(Ticket, refusal_reason::DeadlineTooClose, Now);
+  if (isBelowLevel(Rank))
+    return refuse(Ticket, refusal_reason::BelowLevel, Now);
+  if (!Queue.empty() || Running.size() >= Limiter->limit())
+    return enqueue(Ticket, Now);
+  start(Ticket, Now);
+  return {offer_verdict::Admitted, {}, level(), {}};
+}
+
+gate_actions admission_gate::complete(const request_id &RequestId,
+                                      const work_result &Result, instant Now) {
+  const auto Found = Running.find(RequestId);
+  if (Found == Running.end())
+    return {};
+  const running_attempt Attempt = Found->second;
+  Running.erase(Found);
+
+  const duration Taken = Now - Attempt.StartedAt;
+  if (Result.Outcome == work_outcome::Completed ||
+      Result.Outcome == work_outcome::TimedOut)
+    ServiceTime.learn(Taken);
+  Limiter->learn({Result.Outcome, Attempt.StartedAt,
+                  std::max(duration(0), Taken - Result.SubCallTime),
+                  Attempt.InFlightAtStart, !Queue.empty()},
+                 Now);
+
+  gate_actions Actions;
+  startWaiting(Actions, Now);
+  if (hasSlack())
+    FirstRefused.reset();
+  Tracker.onEnd(hasSlack(), Now);
+  return Actions;
+}
+
+cancel_result admission_gate::cancel(const request_id &RequestId) {
+  if (Queue.remove(RequestId))
+    return cancel_result::Removed;
+  return Running.contains(RequestId) ? cancel_result::Running
+                                     : cancel_result::Unknown;
+}
+
+gate_actions admission_gate::expire(instant Now) {
+  gate_actions Actions;
+  refuseHopeless(Actions, Now);
+  return Actions;
+}
+
+gate_actions admission_gate::drain(instant) {
+  Draining = true;
+  gate_actions Actions;
+  while (!Queue.empty())
+    Actions.Refused.push_back({Queue.takeFirst(), refusal_reason::Draining});
+  return Actions;
+}
+
+std::optional<instant> admission_gate::nextWake() const {
+  const std::optional<instant> Deadline = Queue.earliestDeadline();
+  if (!Deadline || !Settings.HeedsDeadlines)
+    return std::nullopt;
+  // expire() refuses what is due strictly before its bound.
+  return *Deadline - timeNeeded() + duration(1);
+}
+
+offer_decision admission_gate::refuse(const admission_ticket &Ticket,
+                                      refusal_reason Reason, instant Now) {
+  const bool DueToLoad = Reason == refusal_reason::QueueFull ||
+                         Reason == refusal_reason::BelowLevel;
+  if (DueToLoad) {
+    holdLevel(Ticket.rank());
+    Tracker.onRefusal(Now);
+  }
+  return {offer_verdict::Refused, Reason, level(), {}};
+}
+
+offer_decision admission_gate::enqueue(const admission_ticket &Ticket,
+                                       instant Now) {
+  gate_actions Others;
+  refuseHopeless(Others, Now);
+  Queue.add(Ticket);
+  bool Refused = false;
+  while (Queue.size() > queueCapacity()) {
+    const admission_ticket Last = Queue.takeLast();
+    if (Last.RequestId == Ticket.RequestId) {
+      Refused = true;
+      continue;
+    }
+    holdLevel(Last.rank());
+    Tracker.onRefusal(Now);
+    Others.Refused.push_back({Last, refusal_reason::Displaced});
+  }
+  if (!Refused)
+    return {offer_verdict::Queued, {}, level(), std::move(Others)};
+  offer_decision Decision = refuse(Ticket, refusal_reason::QueueFull, Now);
+  Decision.Others = std::move(Others);
+  return Decision;
+}
+
+void admission_gate::start(const admission_ticket &Ticket, instant Now) {
+  Tracker.onStart(Now);
+  Running.emplace(Ticket.RequestId, running_attempt{Now, Running.size() + 1});
+}
+
+void admission_gate::startWaiting(gate_actions &Actions, instant Now) {
+  while (!Queue.empty() && Running.size() < Limiter->limit()) {
+    const admission_ticket Ticket = Queue.takeFirst();
+    if (!canFinish(Ticket, 0, Now)) {
+      Actions.Refused.push_back({Ticket, refusal_reason::DeadlineTooClose});
+      continue;
+    }
+    start(Ticket, Now);
+    Actions.Started.push_back(Ticket);
+  }
+}
+
+void admission_gate::refuseHopeless(gate_actions &Actions, instant Now) {
+  if (!Settings.HeedsDeadlines)
+    return;
+  while (const auto Ticket = Queue.takeDueBefore(Now + timeNeeded()))
+    Actions.Refused.push_back({*Ticket, refusal_reason::DeadlineTooClose});
+}
+
+void admission_gate::holdLevel(const admission_rank &Refused) {
+  if (!Settings.HoldsLevel || (FirstRefused && *FirstRefused <= Refused))
+    return;
+  FirstRefused = Refused;
+}
+
+bool admission_gate::hasSlack() const {
+  return Queue.empty() && Running.size() < Limiter->limit();
+}
+
+bool admission_gate::isBelowLevel(const admission_rank &Rank) const {
+  return FirstRefused && Rank > *FirstRefused;
+}
+
+bool admission_gate::canFinish(const admission_ticket &Ticket,
+                               std::size_t Before, instant Now) const {
+  if (!Settings.HeedsDeadlines)
+    return true;
+  // With nothing running, the learned time may be out of date and nothing else
+  // would correct it.
+  if (Running.empty())
+    return Now < Ticket.Deadline;
+  const double Rounds =
+      static_cast<double>(Before) / static_cast<double>(Limiter->limit());
+  const auto Wait = static_cast<duration::rep>(
+      Rounds * static_cast<double>(ServiceTime.mean().count()));
+  return Now + duration(Wait) + timeNeeded() <= Ticket.Deadline &&
+         Now < Ticket.Deadline;
+}
+
+duration admission_gate::timeNeeded() const {
+  return duration(static_cast<duration::rep>(
+      Settings.ServiceTimesNeeded *
+      static_cast<double>(ServiceTime.mean().count())));
+}
+
+std::size_t admission_gate::queueCapacity() const {
+  const double Wanted =
+      Settings.QueuedPerSlot * static_cast<double>(Limiter->limit());
+  constexpr double Longest = std::numeric_limits<std::uint32_t>::max();
+  return std::max(Settings.ShortestQueue,
+                  static_cast<std::size_t>(std::min(Wanted, Longest)));
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_admission/gate/admission_level.cpp
@@ -0,0 +1,48 @@
+#include "clementine_admission/gate/admission_level.h"
+
+#include "clementine_core/random/random_source.h"
+
+#include <algorithm>
+
+namespace clementine {
+
+namespace {
+
+constexpr unsigned HashBits = 64;
+constexpr unsigned SubLevelBits = 7;
+static_assert(SubLevels == 1U << SubLevelBits);
+
+/// More work than this moves a request no further forward.
+constexpr std::uint32_t MostCountedWork = SubLevelBits;
+
+} // namespace
+
+bool admission_level::admits(const admission_rank &Rank) const {
+  return levelOf(Rank) <= *this;
+}
+
+std::size_t admission_level::index() const {
+  return static_cast<std::size_t>(Importance) * SubLevels + SubLevel;
+}
+
+admission_level admission_level::fromIndex(std::size_t Index) {
+  const std::size_t Held = std::min(Index, ImportanceLevels * SubLevels - 1);
+  return {static_cast<importance>(Held / SubLevels),
+          static_cast<std::uint8_t>(Held % SubLevels)};
+}
+
+admission_level levelOf(const admission_rank &Rank) {
+  return {Rank.Importance,
+          static_cast<std::uint8_t>(Rank.SubRank >> (HashBits - SubLevelBits))};
+}
+
+admission_rank rankOf(importance Importance, std::uint64_t WholeRequestHash,
+                      std::uint32_t WorkDone) {
+  return {Importance, WholeRequestHash >> std::min(WorkDone, MostCountedWork)};
+}
+
+std::uint64_t wholeRequestHash(const request_id &WholeRequest) {
+  return mixBits(WholeRequest.High ^ mixBits(WholeRequest.Low));
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_admission/gate/admission_level.h
@@ -0,0 +1,72 @@
+#ifndef CLEMENTINE_ADMISSION_GATE_ADMISSION_LEVEL_H
+#define CLEMENTINE_ADMISSION_GATE_ADMISSION_LEVEL_H
+
+#include "clementine_core/identity/identity.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace clementine {
+
+/// The place of a request in the order of survival. The smaller of two ranks
+/// is served first and shed last.
+struct admission_rank {
+  importance Importance = importance::Low;
+  /// The place within one importance; smaller is favoured.
+  std::uint64_t SubRank = 0;
+
+  auto operator<=>(const admission_rank &) const = default;
+};
+
+/// How many sub-levels each importance has in an admission_level.
+constexpr std::size_t SubLevels = 128;
+
+/// The highest sub-level.
+constexpr std::uint8_t HighestSubLevel = SubLevels - 1;
+
+/// The last rank, in steps of a sub-level, that a gate lets in.
+///
+/// It travels on every answer, so that entry nodes can refuse early what would
+/// be refused later. Levels compare by how much they let in. The default lets
+/// in everything.
+///
+/// @see Zhou et al.: Overload Control for Scaling WeChat Microservices, 2018
+/// (DAGOR), for levels made of business and user priority.
+struct admission_level {
+  importance Importance = importance::Low;
+  std::uint8_t SubLevel = HighestSubLevel;
+
+  auto operator<=>(const admission_level &) const = default;
+
+  /// @returns whether a request of @p Rank gets in at this level.
+  bool admits(const admission_rank &Rank) const;
+
+  /// @returns the place of this level among all levels, from 0 for the
+  /// strictest to ImportanceLevels * SubLevels - 1.
+  std::size_t index() const;
+
+  /// @param Index is held within the range that index() returns.
+  static admission_level fromIndex(std::size_t Index);
+};
+
+/// @returns the strictest level that still admits @p Rank.
+admission_level levelOf(const admission_rank &Rank);
+
+/// Ranks a request.
+///
+/// The hash of the whole request is the same at every hop, so that every gate
+/// favours the same whole requests. Each unit of work already done halves it,
+/// which moves the request forward without leaving the scale of the levels.
+///
+/// @param WholeRequestHash from wholeRequestHash().
+/// @param WorkDone how many hops have been completed for the whole request.
+admission_rank rankOf(importance Importance, std::uint64_t WholeRequestHash,
+                      std::uint32_t WorkDone);
+
+/// @returns a hash of the identifier of a whole request, evenly spread.
+std::uint64_t wholeRequestHash(const request_id &WholeRequest);
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_admission/gate/service_time.h
@@ -0,0 +1,25 @@
+#ifndef CLEMENTINE_ADMISSION_GATE_SERVICE_TIME_H
+#define CLEMENTINE_ADMISSION_GATE_SERVICE_TIME_H
+
+#include "clementine_core/time/clock.h"
+
+namespace clementine {
+
+/// Learns how long an attempt takes from its start to its answer, sub-calls
+/// included: an exponentially weighted mean over the recent attempts.
+class service_time {
+public:
+  /// Takes in one attempt.
+  void learn(duration Taken);
+
+  /// @returns the mean, or 0 before the first attempt.
+  duration mean() const { return Mean; }
+
+private:
+  duration Mean{0};
+  unsigned Learned = 0;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_admission/gate/ticket_queue.h
@@ -0,0 +1,78 @@
+#ifndef CLEMENTINE_ADMISSION_GATE_TICKET_QUEUE_H
+#define CLEMENTINE_ADMISSION_GATE_TICKET_QUEUE_H
+
+#include "clementine_admission/gate/admission_ticket.h"
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace clementine {
+
+/// Tickets that wait, in the order of their ranks; equal ranks keep the order
+/// of their arrival. Each operation takes logarithmic time. Not copyable.
+class ticket_queue {
+public:
+  /// @param OrdersByRank whether rank decides; otherwise only arrival does.
+  explicit ticket_queue(bool OrdersByRank) : OrdersByRank(OrdersByRank) {}
+
+  ticket_queue(const ticket_queue &) = delete;
+  ticket_queue &operator=(const ticket_queue &) = delete;
+
+  /// Adds a ticket whose identifier is not in the queue.
+  void add(const admission_ticket &Ticket);
+
+  /// Removes and returns the ticket that goes first; the queue is not empty.
+  admission_ticket takeFirst();
+
+  /// Removes and returns the ticket that goes last; the queue is not empty.
+  admission_ticket takeLast();
+
+  /// Removes and returns a ticket with a deadline before @p Bound, if any.
+  std::optional<admission_ticket> takeDueBefore(instant Bound);
+
+  /// Removes a ticket.
+  /// @returns whether it was there.
+  bool remove(const request_id &RequestId);
+
+  bool contains(const request_id &RequestId) const;
+  bool empty() const { return ByRank.empty(); }
+  std::size_t size() const { return ByRank.size(); }
+
+  /// @returns the earliest deadline, if anything waits.
+  std::optional<instant> earliestDeadline() const;
+
+  /// @returns about how many tickets would go before one of @p Rank. The count
+  /// is exact between importances, and within one to an eighth of its range.
+  std::size_t countBefore(const admission_rank &Rank) const;
+
+private:
+  struct place {
+    admission_rank Rank;
+    std::uint64_t Arrival = 0;
+
+    auto operator<=>(const place &) const = default;
+  };
+
+  static constexpr std::size_t CountsPerImportance = 8;
+  admission_rank placeRank(const admission_rank &Rank) const;
+  static std::size_t countIndex(const admission_rank &Rank);
+  admission_ticket take(std::map<place, admission_ticket>::iterator Position);
+
+  const bool OrdersByRank;
+  std::map<place, admission_ticket> ByRank;
+  std::set<std::pair<instant, place>> ByDeadline;
+  std::unordered_map<request_id, place, request_id_hash> ById;
+  std::array<std::size_t, ImportanceLevels * CountsPerImportance> Counts{};
+  std::uint64_t Arrivals = 0;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_admission/limits/concurrency_limiter.h
@@ -0,0 +1,39 @@
+#ifndef CLEMENTINE_ADMISSION_LIMITS_CONCURRENCY_LIMITER_H
+#define CLEMENTINE_ADMISSION_LIMITS_CONCURRENCY_LIMITER_H
+
+#include "clementine_admission/gate/admission_ticket.h"
+#include "clementine_core/time/clock.h"
+
+#include <cstddef>
+
+namespace clementine {
+
+/// What a finished attempt tells about the upstream's load.
+struct load_sample {
+  work_outcome Outcome = work_outcome::Completed;
+  instant StartedAt;
+  /// The time from start to end without sub-calls.
+  duration OwnTime{0};
+  /// How many attempts were running when it started, itself included.
+  std::size_t InFlightAtStart = 0;
+  /// Whether the limit held back work when it ended.
+  bool LimitReached = false;
+
+  auto operator<=>(const load_sample &) const = default;
+};
+
+/// Says how many attempts may run at once on one upstream.
+class concurrency_limiter {
+public:
+  virtual ~concurrency_limiter() = default;
+
+  /// @returns the most attempts that may run at once; at least 1.
+  virtual std::size_t limit() const = 0;
+
+  /// Learns from an attempt that ended at @p Now.
+  virtual void learn(const load_sample &Sample, instant Now) = 0;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_admission/limits/learned_limiter.cpp
@@ -0,0 +1,169 @@
+#include "clementine_admission/limits/learned_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace clementine {
+
+namespace {
+
+/// A window takes this many samples for each slot of the limit, so that the
+/// slow attempts of a window are in it too.
+constexpr double SamplesPerSlot = 1.5;
+
+/// The start-up phase multiplies the limit by this each window.
+constexpr double StartUpGrowth = 2.0;
+
+/// How much of a lower latency the floor takes over in each window.
+constexpr double FloorFallShare = 0.5;
+
+/// A deadline is not a latency: an attempt that ran into it would have taken
+/// longer.
+constexpr double TimeoutLatencyFactor = 2.0;
+
+} // namespace
+
+learned_limiter::learned_limiter(learned_limiter_settings Settings)
+    : Settings(Settings),
+      Limit(held(static_cast<double>(Settings.InitialLimit))) {}
+
+std::size_t learned_limiter::limit() const {
+  return static_cast<std::size_t>(Limit);
+}
+
+duration learned_limiter::floor() const {
+  return duration(static_cast<duration::rep>(Floor));
+}
+
+void learned_limiter::learn(const load_sample &Sample, instant Now) {
+  switch (Sample.Outcome) {
+  case work_outcome::Shed:
+    learnShed(Sample, Now);
+    return;
+  case work_outcome::Completed:
+  case work_outcome::TimedOut:
+    learnLatency(Sample, Now);
+    return;
+  case work_outcome::Failed:
+  case work_outcome::Cancelled:
+    // Neither ran to its end, so their times say nothing about the load.
+    return;
+  }
+}
+
+void learned_limiter::learnShed(const load_sample &Sample, instant Now) {
+  if (Sample.StartedAt < Window.Since)
+    return;
+  SeenCongestion = true;
+  GrowthStep = 1;
+  if (!Window.Shed)
+    LimitBeforeLastCut = Limit;
+  const double Proven = static_cast<double>(Sample.InFlightAtStart) - 1.0;
+  const double Lowest = LimitBeforeLastCut * Settings.DeepestCut;
+  Limit = held(std::min(Limit, std::max(Proven, Lowest)));
+  if (!Window.Shed) {
+    endExperiment();
+    openWindow(Now);
+  }
+  Window.Shed = true;
+}
+
+void learned_limiter::learnLatency(const load_sample &Sample, instant Now) {
+  // An attempt that began under another limit would blur what this one does.
+  if (Sample.StartedAt < Window.Since)
+    return;
+  double Nanoseconds =
+      std::max(1.0, static_cast<double>(Sample.OwnTime.count()));
+  if (Sample.Outcome == work_outcome::TimedOut)
+    Nanoseconds *= TimeoutLatencyFactor;
+  const double Log = std::log(Nanoseconds);
+  ++Window.Count;
+  Window.LogSum += Log;
+  Window.LogSquareSum += Log * Log;
+  Window.LimitReached |= Sample.LimitReached;
+  if (isWindowFull(Now))
+    closeWindow(Now);
+}
+
+bool learned_limiter::isWindowFull(instant Now) const {
+  const auto Count = static_cast<double>(Window.Count);
+  if (Window.Count < Settings.FewestSamples ||
+      Now - Window.Since < Settings.ShortestWindow)
+    return false;
+  if (Window.Count >= Settings.MostSamples)
+    return true;
+  if (Count < SamplesPerSlot * Limit)
+    return false;
+  const double Mean = Window.LogSum / Count;
+  const double Variance =
+      std::max(0.0, Window.LogSquareSum / Count - Mean * Mean);
+  return Variance / Count <= Settings.WantedError * Settings.WantedError;
+}
+
+void learned_limiter::closeWindow(instant Now) {
+  const double Latency =
+      std::exp(Window.LogSum / static_cast<double>(Window.Count));
+  if (Floor == 0)
+    Floor = Latency;
+  if (Latency < Floor)
+    Floor += (Latency - Floor) * FloorFallShare;
+
+  if (Latency > Floor * Settings.Tolerance) {
+    cut(Latency);
+  } else {
+    endExperiment();
+    if (Window.LimitReached && !Window.Shed)
+      grow();
+  }
+  openWindow(Now);
+}
+
+void learned_limiter::grow() {
+  if (!SeenCongestion) {
+    Limit = held(Limit * StartUpGrowth);
+    return;
+  }
+  Limit = held(Limit + GrowthStep);
+  GrowthStep = std::clamp(GrowthStep * 2.0, 1.0,
+                          std::max(1.0, Limit * Settings.LargestGrowthShare));
+}
+
+void learned_limiter::cut(double Latency) {
+  SeenCongestion = true;
+  GrowthStep = 1;
+  if (Cuts == 0) {
+    LimitBeforeCuts = Limit;
+  } else {
+    const double Factor = Limit / LimitBeforeLastCut;
+    const bool Fell = Latency <= LatencyBeforeLastCut * std::sqrt(Factor);
+    CutsWithoutEffect = Fell ? 0 : CutsWithoutEffect + 1;
+  }
+  if (CutsWithoutEffect >= Settings.CutsBeforeNewFloor) {
+    acceptFloor(Latency);
+    return;
+  }
+  ++Cuts;
+  LatencyBeforeLastCut = Latency;
+  LimitBeforeLastCut = Limit;
+  Limit = held(Limit * std::max(Settings.DeepestCut, Floor / Latency));
+}
+
+void learned_limiter::acceptFloor(double Latency) {
+  Floor = Latency;
+  Limit = held(LimitBeforeCuts);
+  endExperiment();
+}
+
+void learned_limiter::endExperiment() {
+  Cuts = 0;
+  CutsWithoutEffect = 0;
+}
+
+void learned_limiter::openWindow(instant Now) { Window = window{Now}; }
+
+double learned_limiter::held(double Wanted) const {
+  return std::clamp(Wanted, static_cast<double>(Settings.LowestLimit),
+                    static_cast<double>(Settings.HighestLimit));
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_admission/limits/learned_limiter.h
@@ -0,0 +1,110 @@
+#ifndef CLEMENTINE_ADMISSION_LIMITS_LEARNED_LIMITER_H
+#define CLEMENTINE_ADMISSION_LIMITS_LEARNED_LIMITER_H
+
+#include "clementine_admission/limits/concurrency_limiter.h"
+
+#include <cstddef>
+
+namespace clementine {
+
+/// How a learned_limiter moves.
+struct learned_limiter_settings {
+  /// The limit before anything is known.
+  std::size_t InitialLimit = 10;
+  std::size_t LowestLimit = 2;
+  std::size_t HighestLimit = 2000;
+  /// Latency above the floor by more than this factor counts as congestion.
+  double Tolerance = 1.25;
+  /// One window never lowers the limit by more than this factor.
+  double DeepestCut = 0.7;
+  /// A growth step never exceeds this share of the limit.
+  double LargestGrowthShare = 0.1;
+  /// This many cuts in a row that leave the latency as it was show that the
+  /// upstream has become slower rather than congested.
+  unsigned CutsBeforeNewFloor = 2;
+  /// The fewest samples in a window.
+  std::size_t FewestSamples = 20;
+  /// The most samples that a window waits for.
+  std::size_t MostSamples = 300;
+  /// A window takes samples until the standard error of its mean of
+  /// logarithms is below this.
+  double WantedError = 0.08;
+  /// The shortest window.
+  duration ShortestWindow = std::chrono::milliseconds(20);
+
+  auto operator<=>(const learned_limiter_settings &) const = default;
+};
+
+/// Learns the concurrency of an upstream from its answers alone.
+///
+/// Samples are gathered in windows, and only attempts that began within a
+/// window count for it. A window whose geometric mean latency stays near the
+/// uncongested floor raises the limit if the limit held work back: by doubling
+/// until the first congestion, then by steps that double up to a share of the
+/// limit. A congested window cuts the limit towards the point where the latency
+/// would be back at the floor.
+///
+/// A cut is also an experiment. Past the knee the latency of a queue is
+/// proportional to the concurrency (Little's law), so that a cut by a factor
+/// lowers it by the same factor. If it does not fall, the upstream is slower
+/// rather than congested: the latency becomes the new floor and the limit
+/// before the cuts comes back. A faster upstream lowers the floor at once.
+///
+/// An answer by which the upstream sheds caps the limit below the concurrency
+/// at which it was sent.
+///
+/// @see Netflix concurrency-limits (Gradient2) and Envoy's adaptive
+/// concurrency filter for limits from the ratio of latencies.
+class learned_limiter final : public concurrency_limiter {
+public:
+  explicit learned_limiter(learned_limiter_settings Settings);
+  learned_limiter() : learned_limiter(learned_limiter_settings{}) {}
+
+  learned_limiter(const learned_limiter &) = delete;
+  learned_limiter &operator=(const learned_limiter &) = delete;
+
+  std::size_t limit() const override;
+  void learn(const load_sample &Sample, instant Now) override;
+
+  /// @returns the uncongested latency as far as it is known, or 0.
+  duration floor() const;
+
+private:
+  struct window {
+    instant Since;
+    std::size_t Count = 0;
+    double LogSum = 0;
+    double LogSquareSum = 0;
+    bool LimitReached = false;
+    bool Shed = false;
+  };
+
+  void learnShed(const load_sample &Sample, instant Now);
+  void learnLatency(const load_sample &Sample, instant Now);
+  bool isWindowFull(instant Now) const;
+  void closeWindow(instant Now);
+  void grow();
+  void cut(double Latency);
+  void acceptFloor(double Latency);
+  void endExperiment();
+  void openWindow(instant Now);
+  double held(double Limit) const;
+
+  const learned_limiter_settings Settings;
+  double Limit;
+  /// In nanoseconds; 0 before the first window.
+  double Floor = 0;
+  double GrowthStep = 1;
+  bool SeenCongestion = false;
+  /// The cuts of the running experiment.
+  unsigned Cuts = 0;
+  unsigned CutsWithoutEffect = 0;
+  double LimitBeforeCuts = 0;
+  double LimitBeforeLastCut = 0;
+  double LatencyBeforeLastCut = 0;
+  window Window;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_admission/limits/static_limiter.h
@@ -0,0 +1,26 @@
+#ifndef CLEMENTINE_ADMISSION_LIMITS_STATIC_LIMITER_H
+#define CLEMENTINE_ADMISSION_LIMITS_STATIC_LIMITER_H
+
+#include "clementine_admission/limits/concurrency_limiter.h"
+
+#include <algorithm>
+
+namespace clementine {
+
+/// A limit that an operator sets and nothing changes.
+class static_limiter final : public concurrency_limiter {
+public:
+  /// @param Limit is raised to 1.
+  explicit static_limiter(std::size_t Limit)
+      : Limit(std::max<std::size_t>(Limit, 1)) {}
+
+  std::size_t limit() const override { return Limit; }
+  void learn(const load_sample &, instant) override {}
+
+private:
+  const std::size_t Limit;
+};
+
+} // namespace clementine
+
+#endif
