--- /dev/null
+++ b/modules/clementine_settings/values/setting_values.h
@@ -0,0 +1,72 @@
+#ifndef CLEMENTINE_SETTINGS_VALUES_SETTING_VALUES_H
+#define CLEMENTINE_SETTINGS_VALUES_SETTING_VALUES_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace clementine {
+
+/// A number of bytes.
+struct byte_count {
+  std::uint64_t Bytes = 0;
+
+  bool operator==(const byte_count &) const = default;
+};
+
+/// A part of a whole, from 0 to 1.
+struct fraction {
+  double Value = 0;
+
+  bool operator==(const fraction &) const = default;
+};
+
+/// The address of an HTTP service: scheme, host, port and base path.
+struct http_url {
+  std::string Text;
+
+  bool operator==(const http_url &) const = default;
+};
+
+/// The path of a file on the VM.
+struct file_path {
+  std::string Text;
+
+  bool operator==(const file_path &) const = default;
+};
+
+/// How many bytes each key in the settings has: an Ed25519 public key, or a
+/// secret that nodes share.
+constexpr std::size_t KeyBytes = 32;
+
+/// A key and the name that it goes by.
+struct named_key {
+  /// The owner of a signing key, or the identifier of a shared secret.
+  std::string Name;
+  std::array<std::uint8_t, KeyBytes> Bytes{};
+
+  bool operator==(const named_key &) const = default;
+};
+
+/// How a node limits the concurrency of its upstream.
+enum class limiter_kind : std::uint8_t {
+  /// The limit follows the upstream's measured latency.
+  Learned,
+  /// The limit is a fixed number.
+  Static,
+  /// There is no limit.
+  None,
+};
+
+/// The least severe log records that are written.
+enum class log_threshold : std::uint8_t {
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+} // namespace clementine
+
+#endif
