Bundle: signed heads, deltas and the replica that only moves forwards

Cause: a change has to reach every node as its changed parts and hold against forged, stale, cut and reordered messages; no node may go back. Ruled out: one signed delta for each version, since a peer could then not merge several of them; the head alone is signed, over the digest of the content. Change: Ed25519 keys and lists of trusted owners, bundle_head, bundle_delta, bundle_update with capped decoding, bundle_replica. The INI source types are renamed, since the settings module now has types of their old names.

--- a/modules/clementine_bundle/clementine_bundle.h
+++ b/modules/clementine_bundle/clementine_bundle.h
@@ -4,15 +4,24 @@
 /// A bundle is written as INI text, checked as a whole, and looked up for each
 /// request. docs/BUNDLE.md describes the text.
 ///
-/// Needs clementine_core.
+/// Versions of it are signed by an owner and spread from node to node as the
+/// parts that changed.
+///
+/// Needs clementine_core and clementine_wire.
 #ifndef CLEMENTINE_BUNDLE_H
 #define CLEMENTINE_BUNDLE_H
 
 #include "clementine_bundle/format/bundle_error.h"
 #include "clementine_bundle/format/bundle_keys.h"
-#include "clementine_bundle/format/ini_document.h"
+#include "clementine_bundle/format/bundle_source.h"
 #include "clementine_bundle/model/bundle.h"
 #include "clementine_bundle/model/operation_policy.h"
 #include "clementine_bundle/model/sha256.h"
+#include "clementine_bundle/signing/ed25519.h"
+#include "clementine_bundle/signing/trusted_owners.h"
+#include "clementine_bundle/spread/bundle_delta.h"
+#include "clementine_bundle/spread/bundle_head.h"
+#include "clementine_bundle/spread/bundle_replica.h"
+#include "clementine_bundle/spread/bundle_update.h"
 
 #endif
--- a/modules/clementine_bundle/format/ini_document.cpp
+++ b/modules/clementine_bundle/format/bundle_source.cpp
@@ -1,4 +1,4 @@
-#include "clementine_bundle/format/ini_document.h"
+#include "clementine_bundle/format/bundle_source.h"
 
 namespace clementine {
 
@@ -38,7 +38,7 @@
       takeEntry(Text);
   }
 
-  ini_document Document;
+  bundle_source Document;
 
 private:
   void takeHeader(std::string_view Text) {
@@ -78,7 +78,7 @@
 
 } // namespace
 
-std::string ini_section::name() const {
+std::string source_section::name() const {
   std::string Name;
   for (const std::string_view Word : Words) {
     if (!Name.empty())
@@ -88,7 +88,7 @@
   return Name;
 }
 
-ini_document ini_document::split(std::string_view Text) {
+bundle_source bundle_source::split(std::string_view Text) {
   splitter Splitter;
   while (!Text.empty()) {
     const auto End = Text.find('\n');
--- a/modules/clementine_bundle/format/ini_document.h
+++ b/modules/clementine_bundle/format/bundle_source.h
@@ -1,5 +1,5 @@
-#ifndef CLEMENTINE_BUNDLE_FORMAT_INI_DOCUMENT_H
-#define CLEMENTINE_BUNDLE_FORMAT_INI_DOCUMENT_H
+#ifndef CLEMENTINE_BUNDLE_FORMAT_BUNDLE_SOURCE_H
+#define CLEMENTINE_BUNDLE_FORMAT_BUNDLE_SOURCE_H
 
 #include "clementine_bundle/format/bundle_error.h"
 
@@ -11,18 +11,18 @@
 namespace clementine {
 
 /// One `key = value` line.
-struct ini_entry {
+struct source_entry {
   std::uint32_t Line = 0;
   std::string_view Key;
   std::string_view Value;
 };
 
 /// One `[section]` with its entries in the order of the text.
-struct ini_section {
+struct source_section {
   std::uint32_t Line = 0;
   /// The header's words: its kind, then the names.
   std::vector<std::string_view> Words;
-  std::vector<ini_entry> Entries;
+  std::vector<source_entry> Entries;
 
   /// @returns the header without brackets, its words joined by one space.
   std::string name() const;
@@ -33,13 +33,13 @@
 /// Lines that begin with `;` or `#` are comments. Boost's INI reader was not
 /// taken, since it forgets the lines and stops at the first error. The views
 /// point into the text, which has to outlive the document.
-struct ini_document {
-  std::vector<ini_section> Sections;
+struct bundle_source {
+  std::vector<source_section> Sections;
   /// The lines that are neither section, entry, comment nor blank.
   bundle_errors Errors;
 
   /// Splits @p Text. Never fails as a whole; see Errors.
-  static ini_document split(std::string_view Text);
+  static bundle_source split(std::string_view Text);
 };
 
 /// The longest part of a value that an error repeats, in bytes.
--- a/modules/clementine_bundle/model/bundle.h
+++ b/modules/clementine_bundle/model/bundle.h
@@ -16,6 +16,10 @@
 /// The longest text of a bundle, in bytes.
 constexpr std::size_t MostBundleBytes = 1024UL * 1024;
 
+/// The longest canonical text of a bundle, in bytes. The rest of the message
+/// that carries it has to fit below MostBundleBytes too.
+constexpr std::size_t MostCanonicalBytes = MostBundleBytes - 4096;
+
 /// The most sections of a bundle.
 constexpr std::size_t MostBundleSections = 50'000;
 
--- a/modules/clementine_bundle/model/bundle_builder.cpp
+++ b/modules/clementine_bundle/model/bundle_builder.cpp
@@ -39,14 +39,14 @@
          (Place == PlaceOfCaller || Place == PlaceOfOperation);
 }
 
-std::string canonicalText(const ini_section &Section) {
-  std::vector<ini_entry> Entries = Section.Entries;
+std::string canonicalText(const source_section &Section) {
+  std::vector<source_entry> Entries = Section.Entries;
   std::sort(Entries.begin(), Entries.end(),
-            [](const ini_entry &Left, const ini_entry &Right) {
+            [](const source_entry &Left, const source_entry &Right) {
               return Left.Key < Right.Key;
             });
   std::string Text = "[" + Section.name() + "]\n";
-  for (const ini_entry &Entry : Entries) {
+  for (const source_entry &Entry : Entries) {
     Text += Entry.Key;
     Text += " = ";
     Text += Entry.Value;
@@ -66,6 +66,14 @@
           Values.CostRate.value_or(Otherwise.CostRate)};
 }
 
+bundle_errors tooLarge(std::size_t Size, std::size_t Most) {
+  bundle_error Error;
+  Error.Fault = bundle_fault::TextTooLarge;
+  Error.Value = std::to_string(Size) + " bytes";
+  Error.Allowed = "at most " + std::to_string(Most) + " bytes";
+  return {Error};
+}
+
 bool statesLimits(const section_values &Values) {
   return Values.Rate || Values.Concurrency || Values.CostRate;
 }
@@ -74,18 +82,13 @@
 
 result<bundle, bundle_errors> bundle::parse(std::string_view Text) {
   if (Text.size() > MostBundleBytes)
-    return bundle_errors{{bundle_fault::TextTooLarge,
-                          0,
-                          {},
-                          {},
-                          std::to_string(Text.size()) + " bytes",
-                          std::to_string(MostBundleBytes) + " bytes"}};
+    return tooLarge(Text.size(), MostBundleBytes);
   bundle_builder Builder(Text);
   return Builder.build();
 }
 
 bundle_builder::bundle_builder(std::string_view Text)
-    : Text(Text), Document(ini_document::split(Text)), Errors(Document.Errors),
+    : Text(Text), Document(bundle_source::split(Text)), Errors(Document.Errors),
       Content(std::make_shared<bundle::content>()) {}
 
 result<bundle, bundle_errors> bundle_builder::build() {
@@ -102,6 +105,8 @@
   if (!Errors.empty())
     return sortedErrors();
   sortSections();
+  if (CanonicalBytes > MostCanonicalBytes)
+    return tooLarge(CanonicalBytes, MostCanonicalBytes);
   fillDefaults();
   fillServices();
   fillOperations();
@@ -111,7 +116,7 @@
   return bundle(Content);
 }
 
-void bundle_builder::report(bundle_fault Fault, const ini_section &Section,
+void bundle_builder::report(bundle_fault Fault, const source_section &Section,
                             std::string Allowed) {
   Errors.push_back({Fault,
                     Section.Line,
@@ -121,8 +126,8 @@
                     std::move(Allowed)});
 }
 
-void bundle_builder::report(bundle_fault Fault, const ini_section &Section,
-                            const ini_entry &Entry, std::string Allowed) {
+void bundle_builder::report(bundle_fault Fault, const source_section &Section,
+                            const source_entry &Entry, std::string Allowed) {
   Errors.push_back({Fault, Entry.Line, quotedValue(Section.name()),
                     quotedValue(Entry.Key), quotedValue(Entry.Value),
                     std::move(Allowed)});
@@ -142,11 +147,11 @@
 
 void bundle_builder::checkSections() {
   Sections.reserve(Document.Sections.size());
-  for (const ini_section &Section : Document.Sections)
+  for (const source_section &Section : Document.Sections)
     checkSection(Section);
 }
 
-void bundle_builder::checkSection(const ini_section &Section) {
+void bundle_builder::checkSection(const source_section &Section) {
   // A header without its closing bracket is reported by the reader.
   if (Section.Words.empty())
     return;
@@ -164,7 +169,7 @@
   Sections.push_back(std::move(Checked));
 }
 
-bool bundle_builder::checkHeader(const ini_section &Section) {
+bool bundle_builder::checkHeader(const source_section &Section) {
   const section_rule *Rule = findSectionRule(Section.Words[0]);
   if (Rule == nullptr || Section.Words.size() != Rule->Names + 1) {
     report(bundle_fault::UnknownSection, Section,
@@ -191,12 +196,12 @@
 }
 
 void bundle_builder::checkEntries(checked_section &Section) {
-  for (const ini_entry &Entry : Section.Source->Entries)
+  for (const source_entry &Entry : Section.Source->Entries)
     checkEntry(Section, Entry);
 }
 
 void bundle_builder::checkEntry(checked_section &Section,
-                                const ini_entry &Entry) {
+                                const source_entry &Entry) {
   const section_kind Kind = Section.Rule->Kind;
   const key_rule *Rule = findKeyRule(Kind, Entry.Key);
   if (Rule == nullptr) {
@@ -204,10 +209,9 @@
     return;
   }
   const auto &Entries = Section.Source->Entries;
-  const auto First =
-      std::find_if(Entries.begin(), Entries.end(), [&](const ini_entry &Other) {
-        return Other.Key == Entry.Key;
-      });
+  const auto First = std::find_if(
+      Entries.begin(), Entries.end(),
+      [&](const source_entry &Other) { return Other.Key == Entry.Key; });
   if (First->Line != Entry.Line) {
     report(bundle_fault::DuplicateKey, *Section.Source, Entry,
            "one such key; the first is on line " + std::to_string(First->Line));
@@ -225,7 +229,7 @@
       continue;
     const bool Stated = std::any_of(
         Entries.begin(), Entries.end(),
-        [&](const ini_entry &Entry) { return Entry.Key == Rule.Key; });
+        [&](const source_entry &Entry) { return Entry.Key == Rule.Key; });
     if (Stated)
       continue;
     Errors.push_back({bundle_fault::MissingKey,
@@ -238,7 +242,7 @@
 }
 
 void bundle_builder::checkRuleEntries(const checked_section &Section) {
-  const ini_section &Source = *Section.Source;
+  const source_section &Source = *Section.Source;
   if (Source.Entries.empty())
     report(bundle_fault::EmptyRule, Source, allowedKeys(section_kind::Rule));
   const bool NamesCaller = Source.Words[1] != AnyName;
@@ -299,6 +303,7 @@
   for (checked_section &Section : Sections) {
     Section.Part.Text = canonicalText(*Section.Source);
     Section.Part.Digest = sha256(Section.Part.Text);
+    CanonicalBytes += Section.Part.Text.size();
   }
 }
 
--- a/modules/clementine_bundle/model/bundle_builder.h
+++ b/modules/clementine_bundle/model/bundle_builder.h
@@ -1,7 +1,7 @@
 #ifndef CLEMENTINE_BUNDLE_MODEL_BUNDLE_BUILDER_H
 #define CLEMENTINE_BUNDLE_MODEL_BUNDLE_BUILDER_H
 
-#include "clementine_bundle/format/ini_document.h"
+#include "clementine_bundle/format/bundle_source.h"
 #include "clementine_bundle/model/bundle.h"
 
 #include <unordered_map>
@@ -24,23 +24,23 @@
 private:
   /// A section whose header is right.
   struct checked_section {
-    const ini_section *Source = nullptr;
+    const source_section *Source = nullptr;
     const section_rule *Rule = nullptr;
     section_values Values;
     bundle_part Part;
   };
 
-  void report(bundle_fault Fault, const ini_section &Section,
+  void report(bundle_fault Fault, const source_section &Section,
               std::string Allowed);
-  void report(bundle_fault Fault, const ini_section &Section,
-              const ini_entry &Entry, std::string Allowed);
+  void report(bundle_fault Fault, const source_section &Section,
+              const source_entry &Entry, std::string Allowed);
   bundle_errors sortedErrors();
 
   void checkSections();
-  void checkSection(const ini_section &Section);
-  bool checkHeader(const ini_section &Section);
+  void checkSection(const source_section &Section);
+  bool checkHeader(const source_section &Section);
   void checkEntries(checked_section &Section);
-  void checkEntry(checked_section &Section, const ini_entry &Entry);
+  void checkEntry(checked_section &Section, const source_entry &Entry);
   void checkRequiredKeys(const checked_section &Section);
   void checkRequiredSections();
   void checkRuleEntries(const checked_section &Section);
@@ -58,11 +58,12 @@
   void fillParts();
 
   const std::string_view Text;
-  const ini_document Document;
+  const bundle_source Document;
   bundle_errors Errors;
   std::vector<checked_section> Sections;
   /// Each right header and the line of its first section.
   std::unordered_map<std::string, std::uint32_t> LineOfSection;
+  std::size_t CanonicalBytes = 0;
   section_values Defaults;
   std::shared_ptr<bundle::content> Content;
 };
--- /dev/null
+++ b/modules/clementine_bundle/spread/bundle_delta.h
@@ -0,0 +1,59 @@
+#ifndef CLEMENTINE_BUNDLE_SPREAD_BUNDLE_DELTA_H
+#define CLEMENTINE_BUNDLE_SPREAD_BUNDLE_DELTA_H
+
+#include "clementine_bundle/model/bundle.h"
+#include "clementine_wire/codec/bounded_field.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace clementine {
+
+/// The longest header of a section, in bytes: its kind and three names.
+constexpr std::uint32_t MostPartNameBytes = 256;
+
+/// The name of a part, such as `caller temple-front`.
+struct part_name {
+  std::string Text;
+
+  bool operator==(const part_name &) const = default;
+  auto operator<=>(const part_name &Other) const { return Text <=> Other.Text; }
+
+  /// Encodes the name with its cap, for cereal.
+  template <class Archive> void serialize(Archive &Fields) {
+    Fields(bounded_string{Text, MostPartNameBytes});
+  }
+};
+
+/// The parts that differ between two bundles.
+struct bundle_delta {
+  /// The canonical texts of the added and changed parts, one behind the other.
+  std::string Changed;
+  std::vector<part_name> Removed;
+
+  bool operator==(const bundle_delta &) const = default;
+
+  /// Encodes both fields with their caps, for cereal.
+  template <class Archive> void serialize(Archive &Fields) {
+    Fields(bounded_string{Changed, MostBundleBytes},
+           bounded_list<part_name>{Removed, MostBundleSections});
+  }
+};
+
+/// @param From empty for the delta that holds the whole of @p To.
+/// @returns what turns @p From into @p To.
+bundle_delta deltaBetween(const std::optional<bundle> &From, const bundle &To);
+
+/// Applies a delta.
+/// @param From the bundle that the delta was made from; empty for a whole one.
+/// @returns the errors of the text that comes out, if any.
+result<bundle, bundle_errors> applyDelta(const std::optional<bundle> &From,
+                                         const bundle_delta &Delta);
+
+/// @returns the names of the parts that @p Delta adds, changes or removes.
+std::vector<part_name> namesIn(const bundle_delta &Delta);
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_bundle/spread/bundle_replica.cpp
@@ -0,0 +1,148 @@
+#include "clementine_bundle/spread/bundle_replica.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace clementine {
+
+namespace {
+
+/// The most updates that are remembered for the peers' sake.
+constexpr std::size_t MostRememberedChanges = 256;
+
+/// The most names of parts in all remembered updates.
+constexpr std::size_t MostRememberedNames = 4'096;
+
+constexpr std::array<std::string_view, 7> FaultNames = {
+    "not newer",
+    "same version with other content",
+    "unknown owner",
+    "bad signature",
+    "wrong base",
+    "content is no bundle",
+    "content is not the signed one",
+};
+
+} // namespace
+
+std::string_view updateFaultName(update_fault Fault) {
+  return FaultNames.at(static_cast<std::size_t>(Fault));
+}
+
+bundle_replica::bundle_replica(trusted_owners Owners)
+    : Owners(std::move(Owners)) {}
+
+result<std::shared_ptr<const held_bundle>, update_refusal>
+bundle_replica::consider(const bundle_update &Update) {
+  const std::uint64_t HeldVersion = summary().Version;
+  const auto Refuse = [&](update_fault Fault) {
+    return update_refusal{Fault, Update.Head.Version, HeldVersion};
+  };
+  if (const auto Fault = faultOfHead(Update))
+    return Refuse(*Fault);
+  std::optional<bundle> Base;
+  if (Update.FromVersion != NoVersion)
+    Base = Held->Content;
+  auto Applied = applyDelta(Base, Update.Delta);
+  if (!Applied)
+    return Refuse(update_fault::BadContent);
+  if (Applied.value().digest() != Update.Head.Digest)
+    return Refuse(update_fault::DigestMismatch);
+  Held = std::make_shared<const held_bundle>(
+      held_bundle{Update.Head, Applied.value()});
+  remember(Update);
+  return Held;
+}
+
+std::optional<update_fault>
+bundle_replica::faultOfHead(const bundle_update &Update) const {
+  const bundle_summary Holding = summary();
+  if (Update.Head.Version <= Holding.Version)
+    return Update.Head.Version == Holding.Version && Held &&
+                   Update.Head.Digest != Holding.Digest
+               ? update_fault::SameVersionOtherContent
+               : update_fault::NotNewer;
+  switch (checkSignature(Update.Head, Owners)) {
+  case signature_check::UnknownOwner:
+    return update_fault::UnknownOwner;
+  case signature_check::BadSignature:
+    return update_fault::BadSignature;
+  case signature_check::Good:
+    break;
+  }
+  if (Update.FromVersion != NoVersion && Update.FromVersion != Holding.Version)
+    return update_fault::WrongBase;
+  return std::nullopt;
+}
+
+bundle_summary bundle_replica::summary() const {
+  if (!Held)
+    return {};
+  return {Held->Head.Version, Held->Head.Digest};
+}
+
+result<bundle_update, answer_fault>
+bundle_replica::answer(std::uint64_t HaveVersion) const {
+  if (!Held)
+    return answer_fault::HoldsNothing;
+  if (HaveVersion >= Held->Head.Version)
+    return answer_fault::PeerNotBehind;
+  if (auto Delta = changesSince(HaveVersion))
+    return bundle_update{Held->Head, HaveVersion, std::move(*Delta)};
+  return bundle_update{Held->Head, NoVersion,
+                       deltaBetween(std::nullopt, Held->Content)};
+}
+
+void bundle_replica::trust(trusted_owners NewOwners) {
+  Owners = std::move(NewOwners);
+}
+
+void bundle_replica::remember(const bundle_update &Update) {
+  if (Update.FromVersion == NoVersion) {
+    // A whole bundle doesn't tell what changed since the version before.
+    Changes.clear();
+    RememberedNames = 0;
+    return;
+  }
+  Changes.push_back(
+      {Update.FromVersion, Update.Head.Version, namesIn(Update.Delta)});
+  RememberedNames += Changes.back().Names.size();
+  while (!Changes.empty() && (Changes.size() > MostRememberedChanges ||
+                              RememberedNames > MostRememberedNames)) {
+    RememberedNames -= Changes.front().Names.size();
+    Changes.pop_front();
+  }
+}
+
+std::optional<bundle_delta>
+bundle_replica::changesSince(std::uint64_t HaveVersion) const {
+  const auto First =
+      std::find_if(Changes.begin(), Changes.end(), [&](const change &Change) {
+        return Change.FromVersion == HaveVersion;
+      });
+  if (First == Changes.end())
+    return std::nullopt;
+  std::set<part_name> Touched;
+  for (auto Change = First; Change != Changes.end(); ++Change)
+    Touched.insert(Change->Names.begin(), Change->Names.end());
+
+  bundle_delta Delta;
+  std::size_t WholeBytes = 0;
+  for (const bundle_part &Part : Held->Content.parts()) {
+    WholeBytes += Part.Text.size();
+    if (Touched.erase({Part.Name}) > 0)
+      Delta.Changed += Part.Text;
+  }
+  std::size_t DeltaBytes = Delta.Changed.size();
+  for (const part_name &Name : Touched) {
+    DeltaBytes += Name.Text.size() + sizeof(std::uint32_t);
+    Delta.Removed.push_back(Name);
+  }
+  if (DeltaBytes >= WholeBytes)
+    return std::nullopt;
+  return Delta;
+}
+
+} // namespace clementine
--- /dev/null
+++ b/tests/bundle/sample_bundles.h
@@ -0,0 +1,68 @@
+#ifndef CLEMENTINE_TESTS_BUNDLE_SAMPLE_BUNDLES_H
+#define CLEMENTINE_TESTS_BUNDLE_SAMPLE_BUNDLES_H
+
+#include "clementine_bundle/clementine_bundle.h"
+
+#include <string>
+
+namespace clementine::samples {
+
+/// @returns a bundle's text with @p Callers callers, the first of which has
+/// the limit @p Rate.
+inline std::string textWith(std::size_t Callers, unsigned Rate) {
+  std::string Text = "[bundle]\nformat = 1\nname = sample\n\n"
+                     "[service crematory-desk]\n\n"
+                     "[operation crematory-desk reserve]\n"
+                     "repeatable = no\ncost = 5\n\n";
+  for (std::size_t Index = 0; Index < Callers; ++Index)
+    Text += "[caller caller-" + std::to_string(Index) +
+            "]\nowner = night-desk\nimportance = high\nrate = " +
+            std::to_string(Index == 0 ? Rate : 200U) + "/s\n\n";
+  return Text;
+}
+
+/// @returns the checked bundle of textWith().
+inline bundle bundleWith(std::size_t Callers, unsigned Rate) {
+  return bundle::parse(textWith(Callers, Rate)).value();
+}
+
+/// @returns a key that is the same in every run.
+inline owner_key keyOf(const std::string &Owner, char Digit) {
+  owner_key Key;
+  Key.Owner = Owner;
+  signing_key::parse(std::string(64, Digit), Key.Key);
+  return Key;
+}
+
+/// @returns a signed head for @p Content; its write id follows from the
+/// version.
+inline bundle_head headOf(const bundle &Content, std::uint64_t Version,
+                          const owner_key &Key) {
+  bundle_head Head;
+  Head.Version = Version;
+  Head.Digest = Content.digest();
+  Head.Owner = Key.Owner;
+  Head.WriteId.Bytes[0] = static_cast<std::uint8_t>(Version);
+  Head.SignedAt = 1'796'000'000;
+  Head.Reason = "raise the limit of the night desk";
+  Head.sign(Key.Key);
+  return Head;
+}
+
+/// @returns the update that carries the whole of @p Content.
+inline bundle_update wholeUpdate(const bundle &Content, std::uint64_t Version,
+                                 const owner_key &Key) {
+  return {headOf(Content, Version, Key), NoVersion,
+          deltaBetween(std::nullopt, Content)};
+}
+
+/// @returns a list that trusts @p Key alone.
+inline trusted_owners trusting(const owner_key &Key) {
+  trusted_owners Owners;
+  Owners.add(Key.Owner, Key.Key.publicKey());
+  return Owners;
+}
+
+} // namespace clementine::samples
+
+#endif
--- /dev/null
+++ b/tests/bundle/test_replica_stateful.cpp
@@ -0,0 +1,206 @@
+#include <doctest/doctest.h>
+
+#include "sample_bundles.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <array>
+#include <memory>
+
+using namespace clementine;
+using namespace clementine::samples;
+
+namespace {
+
+constexpr std::size_t Replicas = 4;
+constexpr std::size_t Callers = 5;
+
+/// The state machine itself needs to know nothing: which steps may follow does
+/// not depend on the past.
+struct no_model {};
+
+/// Several replicas, every message ever sent, and the oracle: the accepted text
+/// of each version.
+class spreading {
+public:
+  spreading() {
+    Accepted.emplace_back();
+    for (auto &Replica : Members)
+      Replica = std::make_unique<bundle_replica>(trusting(Owner));
+    accept(0, 1);
+  }
+
+  /// Accepts the next version, in which one caller has another rate.
+  void accept(std::size_t Caller, unsigned Rate) {
+    std::string Text = textWith(Callers, 200);
+    const std::string Name = "[caller caller-" + std::to_string(Caller) + "]\n";
+    // Some versions take a caller out instead.
+    const auto Begin = Text.find(Name);
+    if (Rate % 3 == 0)
+      Text.erase(Begin, Text.find("\n\n", Begin) + 2 - Begin);
+    else
+      Text.replace(Text.find("200/s", Begin), 5, std::to_string(Rate) + "/s");
+    Accepted.push_back(bundle::parse(Text).value());
+  }
+
+  /// A member hears of the newest version from the platform.
+  void hear(std::size_t Member) {
+    const std::uint64_t Newest = Accepted.size() - 1;
+    const std::uint64_t Have = Members[Member]->summary().Version;
+    bundle_update Update{headOf(*Accepted[Newest], Newest, Owner), Have, {}};
+    Update.Delta = deltaBetween(Accepted[Have], *Accepted[Newest]);
+    send(Update);
+    deliver(Member, Sent.back());
+  }
+
+  /// A member answers another; the answer is kept and may never arrive.
+  void ask(std::size_t Asker, std::size_t Answerer) {
+    auto Answer = Members[Answerer]->answer(Members[Asker]->summary().Version);
+    if (Answer)
+      send(Answer.value());
+  }
+
+  /// Any earlier message arrives, late, again or out of order.
+  void deliverEarlier(std::size_t Member, std::size_t Number) {
+    if (!Sent.empty())
+      deliver(Member, Sent[Number % Sent.size()]);
+  }
+
+  /// An earlier message arrives cut and with one byte changed.
+  void deliverDamaged(std::size_t Member, std::size_t Number, std::size_t Place,
+                      bool Cut) {
+    if (Sent.empty())
+      return;
+    std::string Bytes = Sent[Number % Sent.size()];
+    Bytes[Place % Bytes.size()] = static_cast<char>(Place);
+    if (Cut)
+      Bytes.resize(Place % Bytes.size());
+    deliver(Member, Bytes);
+  }
+
+  /// A forger who lacks the key offers content of their own.
+  void deliverForged(std::size_t Member, std::size_t Number, unsigned Kind) {
+    const std::uint64_t Version = Accepted.size() + Number;
+    const bundle Other = bundleWith(Callers, 9'999);
+    bundle_update Forged = wholeUpdate(Other, Version, Stranger);
+    if (Kind % 3 == 1) {
+      // The newest signed head with a higher number.
+      Forged = wholeUpdate(*Accepted.back(), Accepted.size() - 1, Owner);
+      Forged.Head.Version = Version;
+    }
+    if (Kind % 3 == 2) {
+      // The newest signed head with other content.
+      Forged = wholeUpdate(*Accepted.back(), Accepted.size() - 1, Owner);
+      Forged.Delta = deltaBetween(std::nullopt, Other);
+    }
+    deliver(Member, encodeUpdate(Forged));
+  }
+
+  /// After the faults end, each member asks one that has heard the newest.
+  void checkHealing() {
+    hear(0);
+    for (std::size_t Member = 1; Member < Replicas; ++Member) {
+      const auto Answer =
+          Members[0]->answer(Members[Member]->summary().Version);
+      if (Answer)
+        deliver(Member, encodeUpdate(Answer.value()));
+      RC_ASSERT(Members[Member]->summary().Version == Accepted.size() - 1);
+    }
+  }
+
+private:
+  void send(const bundle_update &Update) {
+    Sent.push_back(encodeUpdate(Update));
+  }
+
+  void deliver(std::size_t Member, const std::string &Bytes) {
+    bundle_replica &Replica = *Members[Member];
+    const std::uint64_t Before = Replica.summary().Version;
+    const auto Update = decodeUpdate(Bytes);
+    if (Update)
+      static_cast<void>(Replica.consider(Update.value()));
+    const std::uint64_t After = Replica.summary().Version;
+    RC_ASSERT(After >= Before);
+    RC_ASSERT(After < Accepted.size());
+    if (After != NoVersion)
+      RC_ASSERT(Replica.held()->Content.text() == Accepted[After]->text());
+  }
+
+  const owner_key Owner = keyOf("night-desk", '1');
+  const owner_key Stranger = keyOf("night-desk", '2');
+  std::array<std::unique_ptr<bundle_replica>, Replicas> Members;
+  std::vector<std::optional<bundle>> Accepted;
+  std::vector<std::string> Sent;
+};
+
+using step = rc::state::Command<no_model, spreading>;
+
+struct accept_version : step {
+  std::size_t Caller = *rc::gen::inRange<std::size_t>(0, Callers);
+  unsigned Rate = *rc::gen::inRange(1U, 1'000U);
+  void run(const no_model &, spreading &System) const override {
+    System.accept(Caller, Rate);
+  }
+};
+
+struct hear_newest : step {
+  std::size_t Member = *rc::gen::inRange<std::size_t>(0, Replicas);
+  void run(const no_model &, spreading &System) const override {
+    System.hear(Member);
+  }
+};
+
+struct ask_member : step {
+  std::size_t Asker = *rc::gen::inRange<std::size_t>(0, Replicas);
+  std::size_t Answerer = *rc::gen::inRange<std::size_t>(0, Replicas);
+  void run(const no_model &, spreading &System) const override {
+    System.ask(Asker, Answerer);
+  }
+};
+
+struct deliver_message : step {
+  std::size_t Member = *rc::gen::inRange<std::size_t>(0, Replicas);
+  std::size_t Number = *rc::gen::inRange<std::size_t>(0, 1'000);
+  void run(const no_model &, spreading &System) const override {
+    System.deliverEarlier(Member, Number);
+  }
+};
+
+struct deliver_damaged : step {
+  std::size_t Member = *rc::gen::inRange<std::size_t>(0, Replicas);
+  std::size_t Number = *rc::gen::inRange<std::size_t>(0, 1'000);
+  std::size_t Place = *rc::gen::inRange<std::size_t>(0, 2'000);
+  bool Cut = *rc::gen::arbitrary<bool>();
+  void run(const no_model &, spreading &System) const override {
+    System.deliverDamaged(Member, Number, Place, Cut);
+  }
+};
+
+struct deliver_forged : step {
+  std::size_t Member = *rc::gen::inRange<std::size_t>(0, Replicas);
+  std::size_t Number = *rc::gen::inRange<std::size_t>(0, 3);
+  unsigned Kind = *rc::gen::inRange(0U, 3U);
+  void run(const no_model &, spreading &System) const override {
+    System.deliverForged(Member, Number, Kind);
+  }
+};
+
+struct heal : step {
+  void run(const no_model &, spreading &System) const override {
+    System.checkHealing();
+  }
+};
+
+} // namespace
+
+TEST_CASE("whatever arrives, a replica moves forwards over accepted texts") {
+  CHECK(rc::check("spreading of bundles", [] {
+    spreading System;
+    rc::state::check(
+        no_model{}, System,
+        rc::state::gen::execOneOfWithArgs<
+            accept_version, hear_newest, ask_member, deliver_message,
+            deliver_damaged, deliver_forged, heal>());
+  }));
+}
