--- a/modules/clementine_admission/gate/admission_level.h
+++ b/modules/clementine_admission/gate/admission_level.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <tuple>
 
 namespace clementine {
 
@@ -16,7 +17,11 @@
   /// The place within one importance; smaller is favoured.
   std::uint64_t SubRank = 0;
 
-  auto operator<=>(const admission_rank &) const = default;
+  bool operator==(const admission_rank &) const = default;
+  std::strong_ordering operator<=>(const admission_rank &Other) const {
+    return std::tie(Importance, SubRank) <=>
+           std::tie(Other.Importance, Other.SubRank);
+  }
 };
 
 /// How many sub-levels each importance has in an admission_level.
@@ -37,7 +42,10 @@
   importance Importance = importance::Low;
   std::uint8_t SubLevel = HighestSubLevel;
 
-  auto operator<=>(const admission_level &) const = default;
+  bool operator==(const admission_level &) const = default;
+  std::strong_ordering operator<=>(const admission_level &Other) const {
+    return index() <=> Other.index();
+  }
 
   /// @returns whether a request of @p Rank gets in at this level.
   bool admits(const admission_rank &Rank) const;
--- a/modules/clementine_admission/gate/ticket_queue.h
+++ b/modules/clementine_admission/gate/ticket_queue.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -57,7 +58,10 @@
     admission_rank Rank;
     std::uint64_t Arrival = 0;
 
-    auto operator<=>(const place &) const = default;
+    bool operator==(const place &) const = default;
+    std::strong_ordering operator<=>(const place &Other) const {
+      return std::tie(Rank, Arrival) <=> std::tie(Other.Rank, Other.Arrival);
+    }
   };
 
   static constexpr std::size_t CountsPerImportance = 8;
