Request engine: entry, gate and ledger, free of I/O

Cause: the promises about whole answers, refusals and single runs are decisions; they need one place that tests can drive in virtual time. Ruled out: a hash over the live view as the home of a key (two nodes can hold different views); quorums of nodes (a replicated store of our own). Change: numbered sends placed by a hint, unnumbered ones under a claim that names one gate; look-ups that fence what never began; a ledger that ages by bounded steps; one retry budget lent and returned. Conclusion: the node can be assembled on these ports.

--- a/modules/clementine_core/identity/identity.h
+++ b/modules/clementine_core/identity/identity.h
@@ -31,6 +31,21 @@
   auto operator<=>(const node_identity &) const = default;
 };
 
+/// How many low bits of an incarnation count refutations. The bits above them
+/// number the start: the wall-clock milliseconds at which the run began.
+constexpr unsigned RefutationBits = 20;
+
+/// @returns the incarnation with which a run begins, so that it stays the name
+/// of the run however often the node has to refute.
+constexpr std::uint64_t startOfRun(std::uint64_t Incarnation) {
+  return (Incarnation >> RefutationBits) << RefutationBits;
+}
+
+/// @returns the incarnation of a run that began at @p WallMilliseconds.
+constexpr std::uint64_t firstIncarnation(std::uint64_t WallMilliseconds) {
+  return WallMilliseconds << RefutationBits;
+}
+
 /// A random 128-bit identifier of a request.
 struct request_id {
   std::uint64_t High = 0;
--- /dev/null
+++ b/modules/clementine_request/entry/entry_service.cpp
@@ -0,0 +1,684 @@
+#include "clementine_request/entry/entry_service.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace clementine {
+
+namespace {
+
+/// The longest idempotency key that a caller may send, in bytes.
+constexpr std::size_t LongestCallerKey = 128;
+/// Upstream answers from this status on count as failures for routing.
+constexpr std::uint16_t FirstFailureStatus = 500;
+/// The wait before a lost node is dialled once more.
+constexpr std::chrono::milliseconds DialPause{50};
+
+std::string targetOf(const caller_request &Request) {
+  return Request.Service + "." + Request.Operation;
+}
+
+/// @returns whether no other node could answer better.
+bool isFinal(refusal Reason) {
+  return Reason == refusal::Malformed || Reason == refusal::KeyRequired ||
+         Reason == refusal::DeadlinePassed || Reason == refusal::Cancelled;
+}
+
+bool isSameRun(const node_identity &Left, const node_identity &Right) {
+  return Left.Name == Right.Name &&
+         startOfRun(Left.Incarnation) == startOfRun(Right.Incarnation);
+}
+
+refusal refusalOf(policy_error Error) {
+  return Error == policy_error::UnknownCaller ? refusal::UnknownCaller
+                                              : refusal::UnknownOperation;
+}
+
+std::uint64_t microsecondsUntil(instant Deadline, instant Now) {
+  const duration Left = std::max(Deadline - Now, duration::zero());
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Left).count());
+}
+
+} // namespace
+
+entry_service::entry_service(entry_service_settings Settings, entry_ports Ports,
+                             gate_service &Gate, random_source &Random)
+    : Settings(std::move(Settings)), Ports(Ports), Gate(Gate), Random(Random),
+      Links(this->Settings.Self.Name, Ports.Peers),
+      Directory(std::make_shared<service_directory>()) {}
+
+void entry_service::setBundle(std::shared_ptr<const bundle> Accepted) {
+  Bundle = std::move(Accepted);
+}
+
+void entry_service::setDirectory(std::shared_ptr<const service_directory> View,
+                                 instant Now) {
+  Directory = std::move(View);
+  for (auto &[Service, Known] : Routes) {
+    std::vector<route_candidate> Candidates;
+    for (const service_instance &Instance : Directory->instancesOf(Service))
+      Candidates.push_back(Instance.Candidate);
+    Known->Chooser.setCandidates(Candidates, Now);
+  }
+}
+
+// Arrival.
+
+void entry_service::request(caller_request Request, instant Now) {
+  auto Call = std::make_shared<entry_call>();
+  Call->Source = std::move(Request);
+  Call->ArrivedAt = Now;
+  Calls[Call->Source.Call] = Call;
+  refusal Reason = refusal::NodeBusy;
+  if (Calls.size() <= Settings.MostCalls)
+    Reason = Call->Source.Parent ? prepareSubCall(*Call, Now)
+                                 : prepareRoot(*Call, Now);
+  if (Reason == refusal::None && isRefusedEarly(*Call, Now))
+    Reason = refusal::Overloaded;
+  if (Reason != refusal::None)
+    finish(Call, run_outcome::NotRun, Reason, {}, Now);
+  else
+    begin(Call, Now);
+}
+
+refusal entry_service::prepareRoot(entry_call &Call, instant Now) {
+  const caller_request &Source = Call.Source;
+  Call.Context.Request = {Random.next(), Random.next()};
+  Call.Context.Caller = Source.Caller;
+  Call.Context.TraceParent = Source.TraceParent;
+  Call.Context.Send = Source.Send;
+  // The scope keeps callers from meeting each other's keys.
+  if (!Source.Key.empty())
+    Call.Context.Key =
+        Source.Caller + "/" + targetOf(Source) + "/" + Source.Key;
+  if (!Bundle)
+    return refusal::NoBundle;
+  if (Source.Key.size() > LongestCallerKey)
+    return refusal::Malformed;
+  const auto Policy =
+      Bundle->decide(Source.Caller, Source.Service, Source.Operation);
+  if (Policy.has_error())
+    return refusalOf(Policy.error());
+  Call.Repeatable = Policy.value().Repeatable;
+  Call.Context.Importance = Policy.value().Importance;
+  Call.Budget = retry_budget(Policy.value().RetryBudget);
+  Call.BudgetAtStart = Policy.value().RetryBudget;
+  const duration Allowed = Policy.value().Deadline;
+  Call.Deadline = Now + std::min(Allowed, Source.Timeout.value_or(Allowed));
+  if (!Source.Key.empty())
+    return refusal::None;
+  if (!Call.Repeatable)
+    return refusal::KeyRequired;
+  // Nobody can send again under a key that this node has just made up.
+  Call.Context.Key = Call.Context.Request.text();
+  Call.Context.Send = send_number::First;
+  return refusal::None;
+}
+
+refusal entry_service::prepareSubCall(entry_call &Call, instant Now) {
+  const caller_request &Source = Call.Source;
+  const auto Parent =
+      Gate.beginSubCall(*Source.Parent, targetOf(Source), Source.Key, Now);
+  if (!Parent) {
+    Call.Source.Parent.reset();
+    return refusal::Cancelled;
+  }
+  Call.Context = Parent->Context;
+  if (!Source.TraceParent.empty())
+    Call.Context.TraceParent = Source.TraceParent;
+  Call.Budget = retry_budget(Parent->Context.RetryBudget);
+  Call.BudgetAtStart = Parent->Context.RetryBudget;
+  Call.Deadline = Parent->Deadline;
+  if (Source.Timeout)
+    Call.Deadline = std::min(Call.Deadline, Now + *Source.Timeout);
+  if (!Bundle)
+    return refusal::NoBundle;
+  if (Call.Context.Depth > Settings.DeepestChain)
+    return refusal::Malformed;
+  const auto Policy =
+      Bundle->decide(Call.Context.Caller, Source.Service, Source.Operation);
+  if (Policy.has_error())
+    return refusalOf(Policy.error());
+  Call.Repeatable = Policy.value().Repeatable;
+  return refusal::None;
+}
+
+bool entry_service::isRefusedEarly(const entry_call &Call, instant Now) {
+  // A re-send is looked up, which costs the upstream nothing.
+  if (!Call.Repeatable && Call.Context.Send == send_number::Again)
+    return false;
+  return Hints.decide(targetOf(Call.Source), rankOfCall(Call), Now) ==
+         hint_verdict::RefusedEarly;
+}
+
+void entry_service::begin(const call_pointer &Call, instant Now) {
+  if (Call->Repeatable || Call->Context.Send == send_number::First)
+    sendNext(Call, Now);
+  else if (Call->Context.Send == send_number::Again)
+    lookUp(Call, Now);
+  else
+    claimNext(Call, Now);
+}
+
+// Sending.
+
+void entry_service::sendNext(const call_pointer &Call, instant Now) {
+  refusal Failure = refusal::None;
+  const service_instance *Instance = choose(*Call, Failure, Now);
+  if (Instance == nullptr) {
+    finish(Call, run_outcome::NotRun, Failure, {}, Now);
+    return;
+  }
+  sendRun(Call, *Instance, Now);
+}
+
+const service_instance *entry_service::choose(const entry_call &Call,
+                                              refusal &Failure, instant Now) {
+  const std::string &Service = Call.Source.Service;
+  route_chooser &Chooser = routesOf(Service, Now).Chooser;
+  const auto &Instances = Directory->instancesOf(Service);
+  route_request Wanted{rankOfCall(Call), Call.Tried};
+  // A first send of a key goes where a re-send would look for it.
+  if (!Call.Repeatable && Call.Context.Send == send_number::First &&
+      Call.Claim == 0) {
+    auto Order = rendezvousOrder(Instances, Call.Context.Key, Instances.size());
+    for (std::size_t Place = Settings.KeyPlaces; Place < Order.size(); ++Place)
+      Wanted.Excluded.push_back(Order[Place].Candidate.Node.Name);
+  }
+  auto Choice = Chooser.choose(Wanted, Now);
+  if (Choice.has_error() && Wanted.Excluded != Call.Tried) {
+    Wanted.Excluded = Call.Tried;
+    Choice = Chooser.choose(Wanted, Now);
+  }
+  if (Choice.has_value())
+    return Directory->find(Service, Choice.value().Node.Name);
+  Failure = Call.LastRefusal;
+  if (Choice.error() == route_failure::NoInstance)
+    Failure = refusal::NoUpstream;
+  else if (Choice.error() == route_failure::AllWouldRefuse)
+    Failure = refusal::Overloaded;
+  return nullptr;
+}
+
+void entry_service::sendRun(const call_pointer &Call,
+                            const service_instance &Instance, instant Now) {
+  entry_attempt Attempt;
+  Attempt.Run = {Random.next(), Random.next()};
+  Attempt.Node = Instance.Candidate.Node;
+  Attempt.Remote = Instance.Peer;
+  Attempt.SentAt = Now;
+  Attempt.LentBudget = Call->Budget.lend();
+  Attempt.Link = Links.linkTo(Attempt.Node.Name, Attempt.Remote);
+  service_routes &Service = routesOf(Call->Source.Service, Now);
+  if (++Call->AttemptsSent == 1)
+    Service.Throttle.onFirstAttempt();
+  Service.Chooser.onSend(Attempt.Node, Now);
+  run_request Request;
+  Request.Run = Attempt.Run;
+  Request.Context = Call->Context;
+  Request.Context.RemainingMicroseconds =
+      microsecondsUntil(Call->Deadline, Now);
+  Request.Context.RetryBudget = Attempt.LentBudget;
+  Request.Service = Call->Source.Service;
+  Request.Operation = Call->Source.Operation;
+  Request.Repeatable = Call->Repeatable;
+  Request.Claim = Call->Claim;
+  Request.Payload = Call->Source.Payload;
+  Call->Phase = call_phase::Running;
+  Call->Attempts.push_back(Attempt);
+  CallByRun[Attempt.Run] = Call->Source.Call;
+  Ports.Peers.sendOn(Attempt.Link, std::move(Request));
+}
+
+// Claims and look-ups.
+
+void entry_service::claimNext(const call_pointer &Call, instant Now) {
+  refusal Failure = refusal::None;
+  const service_instance *Instance = choose(*Call, Failure, Now);
+  if (Instance == nullptr) {
+    finish(Call, run_outcome::NotRun, Failure, {}, Now);
+    return;
+  }
+  claim_request Request;
+  Request.Call = Call->Source.Call;
+  Request.Key = Call->Context.Key;
+  Request.Gate = Instance->Candidate.Node;
+  Request.Gate.Incarnation = startOfRun(Request.Gate.Incarnation);
+  Request.Replaces = Call->Claim;
+  Call->ClaimGate = Request.Gate;
+  Call->Phase = call_phase::Claiming;
+  Ports.Claims.requestClaim(std::move(Request));
+}
+
+void entry_service::claimed(const claim_result &Result, instant Now) {
+  const auto Found = Calls.find(Result.Call);
+  if (Found == Calls.end() || Found->second->Phase != call_phase::Claiming)
+    return;
+  const call_pointer Call = Found->second;
+  if (Result.Status == claim_status::Unavailable) {
+    finish(Call, run_outcome::NotRun, refusal::ClaimUnavailable, {}, Now);
+    return;
+  }
+  Call->Claim = Result.Claim;
+  if (Result.Status == claim_status::Held) {
+    Call->ClaimGate = Result.Gate;
+    lookUpClaim(Call, Now);
+    return;
+  }
+  Call->Context.Send = send_number::First;
+  const service_instance *Instance =
+      Directory->find(Call->Source.Service, Call->ClaimGate.Name);
+  if (Instance == nullptr ||
+      !isSameRun(Instance->Candidate.Node, Call->ClaimGate)) {
+    // The gate left meanwhile, and nothing was sent to it: claim another one.
+    Call->Tried.push_back(Call->ClaimGate.Name);
+    Call->LastRefusal = refusal::NodeUnreachable;
+    claimNext(Call, Now);
+    return;
+  }
+  sendRun(Call, *Instance, Now);
+}
+
+void entry_service::lookUpClaim(const call_pointer &Call, instant Now) {
+  const service_instance *Instance =
+      Directory->find(Call->Source.Service, Call->ClaimGate.Name);
+  if (Instance == nullptr) {
+    finish(Call, run_outcome::Unknown, refusal::NodeUnreachable, {}, Now);
+    return;
+  }
+  lookUpAt(Call, *Instance, Now);
+}
+
+void entry_service::lookUp(const call_pointer &Call, instant Now) {
+  const auto Places =
+      rendezvousOrder(Directory->instancesOf(Call->Source.Service),
+                      Call->Context.Key, Settings.KeyPlaces);
+  if (Places.empty()) {
+    finish(Call, run_outcome::Unknown, refusal::NoRecord, {}, Now);
+    return;
+  }
+  for (const service_instance &Instance : Places)
+    lookUpAt(Call, Instance, Now);
+}
+
+void entry_service::lookUpAt(const call_pointer &Call,
+                             const service_instance &Instance, instant Now) {
+  entry_attempt Attempt;
+  Attempt.Run = {Random.next(), Random.next()};
+  Attempt.Node = Instance.Candidate.Node;
+  Attempt.Remote = Instance.Peer;
+  Attempt.SentAt = Now;
+  Attempt.IsLookUp = true;
+  Attempt.Link = Links.linkTo(Attempt.Node.Name, Attempt.Remote);
+  Call->Phase = call_phase::LookingUp;
+  Call->Attempts.push_back(Attempt);
+  CallByRun[Attempt.Run] = Call->Source.Call;
+  Ports.Peers.sendOn(Attempt.Link,
+                     run_query{Attempt.Run, Call->Context.Key, Call->Claim});
+}
+
+// Answers.
+
+void entry_service::answered(const run_answer &Answer, instant Now) {
+  const call_pointer Call = findByRun(Answer.Run);
+  if (!Call)
+    return;
+  const entry_attempt Attempt = takeAttempt(*Call, Answer.Run);
+  if (Attempt.IsLookUp) {
+    lookUpEnded(Call, Attempt, &Answer, Now);
+    return;
+  }
+  learnRoute(*Call, Attempt, Answer, Now);
+  Call->PathLevel =
+      std::min(Call->PathLevel, admission_level::fromIndex(Answer.PathLevel));
+  Call->Budget.takeBack(Attempt.LentBudget, Answer.ReturnedBudget);
+  switch (Answer.Outcome) {
+  case run_outcome::Completed:
+    finish(Call, run_outcome::Completed, refusal::None, Answer.Answer, Now);
+    return;
+  case run_outcome::NotRun:
+    attemptNotRun(Call, Attempt, Answer.Reason, Now);
+    return;
+  case run_outcome::Unknown:
+    attemptUnknown(Call, Attempt, Answer.Reason, Now);
+    return;
+  }
+}
+
+void entry_service::absent(const run_absent &Absent, instant Now) {
+  const call_pointer Call = findByRun(Absent.Run);
+  if (!Call)
+    return;
+  const entry_attempt Attempt = takeAttempt(*Call, Absent.Run);
+  if (Attempt.IsLookUp)
+    lookUpEnded(Call, Attempt, nullptr, Now);
+  else
+    attemptUnknown(Call, Attempt, refusal::NoRecord, Now);
+}
+
+void entry_service::attemptNotRun(const call_pointer &Call,
+                                  const entry_attempt &Attempt, refusal Reason,
+                                  instant Now) {
+  Call->LastRefusal = Reason;
+  if (Reason == refusal::Fenced && Call->Claim != 0) {
+    // A re-send of the same key has taken over; wait for its answer.
+    Call->Claim = 0;
+    claimNext(Call, Now);
+    return;
+  }
+  Call->Tried.push_back(Attempt.Node.Name);
+  if (isFinal(Reason))
+    finish(Call, run_outcome::NotRun, Reason, {}, Now);
+  else
+    retryOrEnd(Call, attempt_outcome::NotRun, Reason, Now);
+}
+
+void entry_service::attemptUnknown(const call_pointer &Call,
+                                   const entry_attempt &Attempt, refusal Reason,
+                                   instant Now) {
+  Call->MayHaveRun = true;
+  Call->Tried.push_back(Attempt.Node.Name);
+  // Whatever a second run calls has perhaps been called by the first one.
+  if (Call->Context.Send == send_number::First)
+    Call->Context.Send = send_number::Again;
+  retryOrEnd(Call, attempt_outcome::Unknown, Reason, Now);
+}
+
+void entry_service::retryOrEnd(const call_pointer &Call,
+                               attempt_outcome Outcome, refusal Reason,
+                               instant Now) {
+  service_routes &Service = routesOf(Call->Source.Service, Now);
+  const failed_attempt Failed{Outcome, Call->Repeatable, Call->Deadline,
+                              Service.Chooser.meanLatency()};
+  const retry_decision Decision =
+      decideRetry(Failed, Call->Budget, Service.Throttle, Now);
+  if (Decision != retry_decision::Retry) {
+    const run_outcome Truth = Outcome == attempt_outcome::NotRun
+                                  ? run_outcome::NotRun
+                                  : run_outcome::Unknown;
+    finish(Call, Truth, Reason, {}, Now);
+    return;
+  }
+  if (Call->Claim != 0)
+    claimNext(Call, Now);
+  else
+    sendNext(Call, Now);
+}
+
+void entry_service::lookUpEnded(const call_pointer &Call,
+                                const entry_attempt &Attempt,
+                                const run_answer *Answer, instant Now) {
+  const auto Holder = Attempt.Link == LocalLink ? std::optional(Settings.Self)
+                                                : Links.peerOf(Attempt.Link);
+  const bool IsClaim = Call->Claim != 0;
+  if (Answer != nullptr && Answer->Outcome == run_outcome::Completed) {
+    finish(Call, run_outcome::Completed, refusal::None, Answer->Answer, Now);
+    return;
+  }
+  if (!IsClaim) {
+    if (Call->Attempts.empty())
+      finish(Call, run_outcome::Unknown, refusal::NoRecord, {}, Now);
+    return;
+  }
+  const bool IsFenced = Answer != nullptr &&
+                        Answer->Outcome == run_outcome::NotRun &&
+                        Answer->Reason == refusal::Fenced;
+  if (!Holder || !isSameRun(*Holder, Call->ClaimGate)) {
+    finish(Call, run_outcome::Unknown, refusal::NodeReplaced, {}, Now);
+    return;
+  }
+  if (Answer == nullptr || Answer->Outcome == run_outcome::Unknown) {
+    finish(Call, run_outcome::Unknown, refusal::NoRecord, {}, Now);
+    return;
+  }
+  // The claim that was found can never run: replace it. When its run ended
+  // NotRun instead, its sender may have replaced it; the claim is read again.
+  if (!IsFenced)
+    Call->Claim = 0;
+  claimNext(Call, Now);
+}
+
+// Links.
+
+void entry_service::linkUp(link_id Link, const node_identity &Peer,
+                           instant Now) {
+  if (!Links.noteUp(Link, Peer))
+    return;
+  for (const auto &[Call, Run] : attemptsOn(Link)) {
+    entry_attempt *Attempt = findAttempt(*Call, Run);
+    if (Attempt == nullptr || Attempt->State == attempt_state::Sent)
+      continue;
+    if (isSameRun(Attempt->Node, Peer))
+      askAgain(*Call, *Attempt);
+    else
+      giveUp(Call, Run, refusal::NodeReplaced, Now);
+  }
+}
+
+void entry_service::linkDown(link_id Link, bool WasUp, instant Now) {
+  const auto Peer = Links.peerOf(Link);
+  Links.noteDown(Link);
+  for (const auto &[Call, Run] : attemptsOn(Link)) {
+    entry_attempt *Attempt = findAttempt(*Call, Run);
+    if (Attempt == nullptr)
+      continue;
+    if (!WasUp && Attempt->State == attempt_state::Sent) {
+      failUnsent(Call, Run, Now);
+      continue;
+    }
+    if (Peer)
+      Attempt->Node.Incarnation = Peer->Incarnation;
+    loseAttempt(*Attempt, Now);
+  }
+}
+
+void entry_service::failUnsent(const call_pointer &Call, const request_id &Run,
+                               instant Now) {
+  // Nothing has left this node on a link that was never up.
+  const entry_attempt Unsent = takeAttempt(*Call, Run);
+  if (Unsent.IsLookUp) {
+    lookUpEnded(Call, Unsent, nullptr, Now);
+    return;
+  }
+  routesOf(Call->Source.Service, Now).Chooser.onSilence(Unsent.Node, Now);
+  Call->Budget.takeBack(Unsent.LentBudget, Unsent.LentBudget);
+  attemptNotRun(Call, Unsent, refusal::NodeUnreachable, Now);
+}
+
+void entry_service::giveUp(const call_pointer &Call, const request_id &Run,
+                           refusal Reason, instant Now) {
+  const entry_attempt Lost = takeAttempt(*Call, Run);
+  if (Lost.IsLookUp) {
+    lookUpEnded(Call, Lost, nullptr, Now);
+    return;
+  }
+  routesOf(Call->Source.Service, Now).Chooser.onSilence(Lost.Node, Now);
+  attemptUnknown(Call, Lost, Reason, Now);
+}
+
+void entry_service::loseAttempt(entry_attempt &Attempt, instant Now) {
+  if (Attempt.State == attempt_state::Sent) {
+    Attempt.State = attempt_state::Lost;
+    Attempt.LostAt = Now;
+    Attempt.Link = Links.linkTo(Attempt.Node.Name, Attempt.Remote);
+    return;
+  }
+  // The new link failed as well; passTime() dials again.
+  Attempt.Link = NoLink;
+  Attempt.DialAt = Now + DialPause;
+}
+
+void entry_service::askAgain(const entry_call &Call, entry_attempt &Attempt) {
+  Attempt.State = attempt_state::Sent;
+  run_query Query{Attempt.Run, {}, 0};
+  if (Attempt.IsLookUp) {
+    Query.Key = Call.Context.Key;
+    Query.Claim = Call.Claim;
+  }
+  Ports.Peers.sendOn(Attempt.Link, std::move(Query));
+}
+
+// Ends.
+
+void entry_service::callerGone(call_id Id, instant Now) {
+  const auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return;
+  finish(call_pointer(Found->second), run_outcome::Unknown, refusal::Cancelled,
+         {}, Now);
+}
+
+void entry_service::passTime(instant Now) {
+  std::vector<call_pointer> Late;
+  std::vector<std::pair<call_pointer, request_id>> Lost;
+  for (const auto &[Id, Call] : Calls) {
+    if (Now >= Call->Deadline + Settings.AnswerGrace) {
+      Late.push_back(Call);
+      continue;
+    }
+    for (entry_attempt &Attempt : Call->Attempts) {
+      if (Attempt.State != attempt_state::Lost)
+        continue;
+      if (Now - Attempt.LostAt >= Settings.LostPatience)
+        Lost.emplace_back(Call, Attempt.Run);
+      else if (Attempt.Link == NoLink && Now >= Attempt.DialAt)
+        Attempt.Link = Links.linkTo(Attempt.Node.Name, Attempt.Remote);
+    }
+  }
+  for (const call_pointer &Call : Late)
+    endAtDeadline(Call, Now);
+  for (const auto &[Call, Run] : Lost)
+    if (findAttempt(*Call, Run) != nullptr)
+      giveUp(Call, Run, refusal::ConnectionLost, Now);
+}
+
+void entry_service::endAtDeadline(const call_pointer &Call, instant Now) {
+  const bool WasSent = !Call->Attempts.empty();
+  finish(Call, WasSent ? run_outcome::Unknown : run_outcome::NotRun,
+         refusal::DeadlinePassed, {}, Now);
+}
+
+void entry_service::finish(const call_pointer &Call, run_outcome Outcome,
+                           refusal Reason, const http_answer &Answer,
+                           instant Now) {
+  const caller_request &Source = Call->Source;
+  if (Calls.erase(Source.Call) == 0)
+    return;
+  for (const entry_attempt &Attempt : Call->Attempts) {
+    CallByRun.erase(Attempt.Run);
+    if (Attempt.IsLookUp)
+      continue;
+    routesOf(Source.Service, Now).Chooser.onSilence(Attempt.Node, Now);
+    Ports.Peers.sendOn(Attempt.Link, run_cancel{Attempt.Run});
+  }
+  Call->Attempts.clear();
+  // An earlier send of the same key may have run, or this one's first attempt.
+  const bool EarlierMayHaveRun =
+      Call->MayHaveRun ||
+      (!Call->Context.Key.empty() && Call->Context.Send != send_number::First);
+  if (Outcome == run_outcome::NotRun && EarlierMayHaveRun)
+    Outcome = run_outcome::Unknown;
+  if (Source.Parent) {
+    sub_call_end End;
+    End.LentBudget = Call->BudgetAtStart;
+    End.UnusedBudget = Call->Budget.left();
+    End.IsCompleted = Outcome == run_outcome::Completed;
+    End.PathLevel = Call->PathLevel;
+    Gate.endSubCall(*Source.Parent, End, Now);
+  }
+  entry_report Report;
+  Report.Request = Call->Context.Request;
+  Report.Caller = Call->Context.Caller;
+  Report.Service = Source.Service;
+  Report.Operation = Source.Operation;
+  Report.TraceParent = Call->Context.TraceParent;
+  Report.Importance = Call->Context.Importance;
+  Report.Depth = Call->Context.Depth;
+  Report.Outcome = Outcome;
+  Report.Reason = Reason;
+  Report.Status = Answer.Status;
+  Report.Attempts = Call->AttemptsSent;
+  Report.Taken = Now - Call->ArrivedAt;
+  Ports.Observer.callEnded(Report);
+  Ports.Callers.answerCaller(
+      {Source.Call, Call->Context.Request, Outcome, Reason, Answer});
+}
+
+void entry_service::learnRoute(const entry_call &Call,
+                               const entry_attempt &Attempt,
+                               const run_answer &Answer, instant Now) {
+  answer_kind Kind = answer_kind::Refused;
+  if (Answer.Outcome == run_outcome::Completed)
+    Kind = Answer.Answer.Status < FirstFailureStatus ? answer_kind::Completed
+                                                     : answer_kind::Failed;
+  else if (Answer.Outcome == run_outcome::Unknown)
+    Kind = answer_kind::Failed;
+  routesOf(Call.Source.Service, Now)
+      .Chooser.onAnswer(Attempt.Node, Kind, Now - Attempt.SentAt,
+                        admission_level::fromIndex(Answer.AdmissionLevel), Now);
+  const auto PathLevel = admission_level::fromIndex(Answer.PathLevel);
+  Hints.learn(targetOf(Call.Source), PathLevel, Now);
+}
+
+entry_service::call_pointer
+entry_service::findByRun(const request_id &Run) const {
+  const auto Found = CallByRun.find(Run);
+  if (Found == CallByRun.end())
+    return nullptr;
+  return Calls.at(Found->second);
+}
+
+std::vector<std::pair<entry_service::call_pointer, request_id>>
+entry_service::attemptsOn(link_id Link) const {
+  std::vector<std::pair<call_pointer, request_id>> Found;
+  for (const auto &[Id, Call] : Calls)
+    for (const entry_attempt &Attempt : Call->Attempts)
+      if (Attempt.Link == Link)
+        Found.emplace_back(Call, Attempt.Run);
+  return Found;
+}
+
+entry_attempt *entry_service::findAttempt(entry_call &Call,
+                                          const request_id &Run) {
+  for (entry_attempt &Attempt : Call.Attempts)
+    if (Attempt.Run == Run)
+      return &Attempt;
+  return nullptr;
+}
+
+entry_attempt entry_service::takeAttempt(entry_call &Call,
+                                         const request_id &Run) {
+  const entry_attempt *Found = findAttempt(Call, Run);
+  assert(Found != nullptr && "an indexed attempt is held");
+  const entry_attempt Taken = *Found;
+  std::erase_if(Call.Attempts, [&](const entry_attempt &Attempt) {
+    return Attempt.Run == Run;
+  });
+  CallByRun.erase(Run);
+  return Taken;
+}
+
+entry_service::service_routes &
+entry_service::routesOf(const std::string &Service, instant Now) {
+  auto &Known = Routes[Service];
+  if (Known)
+    return *Known;
+  route_settings Wanted;
+  Wanted.OwnName = Settings.Self.Name;
+  Wanted.OwnDataCentre = Settings.DataCentre;
+  Known = std::make_unique<service_routes>(Wanted, Settings.Throttle, Random);
+  std::vector<route_candidate> Candidates;
+  for (const service_instance &Instance : Directory->instancesOf(Service))
+    Candidates.push_back(Instance.Candidate);
+  Known->Chooser.setCandidates(Candidates, Now);
+  return *Known;
+}
+
+admission_rank entry_service::rankOfCall(const entry_call &Call) const {
+  return rankOf(Call.Context.Importance, wholeRequestHash(Call.Context.Request),
+                Call.Context.WorkDone);
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_request/gate/gate_service.cpp
@@ -0,0 +1,337 @@
+#include "clementine_request/gate/gate_service.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace clementine {
+
+namespace {
+
+/// The longest key that is passed on as it is, in bytes.
+constexpr std::size_t LongestPlainKey = 256;
+
+refusal refusalOf(refusal_reason Reason) {
+  switch (Reason) {
+  case refusal_reason::QueueFull:
+  case refusal_reason::BelowLevel:
+    return refusal::Overloaded;
+  case refusal_reason::Displaced:
+    return refusal::Displaced;
+  case refusal_reason::DeadlineTooClose:
+    return refusal::DeadlinePassed;
+  case refusal_reason::Draining:
+    return refusal::Leaving;
+  case refusal_reason::AlreadyPresent:
+    break;
+  }
+  return refusal::Malformed;
+}
+
+work_outcome outcomeOf(const upstream_result &Result, bool IsCancelled) {
+  if (IsCancelled)
+    return work_outcome::Cancelled;
+  switch (Result.End) {
+  case upstream_end::Answered:
+    return work_outcome::Completed;
+  case upstream_end::Refused:
+  case upstream_end::NotSent:
+    return work_outcome::Shed;
+  case upstream_end::Broken:
+    break;
+  }
+  return work_outcome::Failed;
+}
+
+/// Shortens a derived key without making two keys alike.
+std::string boundedKey(std::string Key) {
+  if (Key.size() <= LongestPlainKey)
+    return Key;
+  const std::string Salted = Key + "#";
+  return "h:" + request_id{stableHash(Key), stableHash(Salted)}.text();
+}
+
+run_answer answerWithout(run_outcome Outcome, refusal Reason) {
+  run_answer Answer;
+  Answer.Outcome = Outcome;
+  Answer.Reason = Reason;
+  Answer.PathLevel = static_cast<std::uint32_t>(admission_level{}.index());
+  return Answer;
+}
+
+} // namespace
+
+gate_service::gate_service(gate_service_settings Settings, admission_gate &Gate,
+                           run_ledger &Ledger, upstream_port &Upstream,
+                           peer_port &Peers, gate_observer &Observer,
+                           random_source &Random)
+    : Settings(Settings), Gate(Gate), Ledger(Ledger), Upstream(Upstream),
+      Peers(Peers), Observer(Observer), Random(Random) {}
+
+void gate_service::run(link_id Link, run_request Request, instant Now) {
+  const run_address From{Link, Request.Run};
+  if (Service.empty() || Request.Service != Service) {
+    reply(From, answerWithout(run_outcome::NotRun, refusal::NoUpstream));
+    return;
+  }
+  const std::string Key = Request.Repeatable ? "" : Request.Context.Key;
+  if (!Request.Repeatable && Key.empty()) {
+    reply(From, answerWithout(run_outcome::NotRun, refusal::KeyRequired));
+    return;
+  }
+  switch (Ledger.begin(Request.Run, Key, Request.Claim)) {
+  case begin_verdict::Run:
+    break;
+  case begin_verdict::Join:
+  case begin_verdict::Ended:
+    join(Link, Request.Run, Key.empty() ? Request.Run : *Ledger.runOfKey(Key));
+    return;
+  case begin_verdict::Fenced:
+    reply(From, answerWithout(run_outcome::NotRun, refusal::Fenced));
+    return;
+  case begin_verdict::Full:
+    reply(From, answerWithout(run_outcome::NotRun, refusal::LedgerFull));
+    return;
+  case begin_verdict::Forgotten:
+    reply(From, answerWithout(run_outcome::Unknown, refusal::NoRecord));
+    return;
+  }
+  auto Run = std::make_shared<active_run>();
+  Run->ArrivedAt = Now;
+  Run->Deadline =
+      Now + std::chrono::microseconds(Request.Context.RemainingMicroseconds);
+  Run->Waiting.push_back(From);
+  Run->Budget = retry_budget(Request.Context.RetryBudget);
+  Run->Request = std::move(Request);
+  Runs[Run->Request.Run] = Run;
+  admit(Run, Now);
+}
+
+void gate_service::admit(const run_pointer &Run, instant Now) {
+  const offer_decision Decision = Gate.offer(ticketOf(*Run), Now);
+  if (Decision.Verdict == offer_verdict::Admitted)
+    start(Run, Now);
+  else if (Decision.Verdict == offer_verdict::Refused)
+    refuse(Run, refusalOf(Decision.Reason), Now);
+  obey(Decision.Others, Now);
+}
+
+admission_ticket gate_service::ticketOf(const active_run &Run) const {
+  const request_context &Context = Run.Request.Context;
+  return {Run.Request.Run, Context.Importance,
+          wholeRequestHash(Context.Request), Context.WorkDone, Run.Deadline};
+}
+
+void gate_service::obey(const gate_actions &Actions, instant Now) {
+  for (const refused_ticket &Refused : Actions.Refused)
+    if (const auto Found = Runs.find(Refused.Ticket.RequestId);
+        Found != Runs.end())
+      refuse(run_pointer(Found->second), refusalOf(Refused.Reason), Now);
+  for (const admission_ticket &Ticket : Actions.Started)
+    if (const auto Found = Runs.find(Ticket.RequestId); Found != Runs.end())
+      start(run_pointer(Found->second), Now);
+}
+
+void gate_service::start(const run_pointer &Run, instant Now) {
+  Run->StartedAt = Now;
+  Run->Token = {Random.next(), Random.next()};
+  ByToken[Run->Token] = Run;
+  upstream_call Call;
+  Call.Token = Run->Token;
+  Call.Operation = Run->Request.Operation;
+  Call.Context = Run->Request.Context;
+  const duration Left = std::max(Run->Deadline - Now, duration::zero());
+  Call.Context.RemainingMicroseconds = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Left).count());
+  Call.Payload = std::move(Run->Request.Payload);
+  Call.Timeout = Left;
+  if (!Run->Request.Repeatable)
+    Call.Timeout += Settings.KeepRunning;
+  Upstream.callUpstream(std::move(Call));
+}
+
+void gate_service::query(link_id Link, const run_query &Query, instant Now) {
+  (void)Now;
+  const run_address From{Link, Query.Run};
+  if (Query.Key.empty()) {
+    if (Ledger.fence(Query.Run) ||
+        !(Ledger.isRunning(Query.Run) || Ledger.answer(Query.Run) != nullptr)) {
+      reply(From, answerWithout(run_outcome::NotRun, refusal::Fenced));
+      return;
+    }
+    join(Link, Query.Run, Ledger.holderOf(Query.Run));
+    return;
+  }
+  if (const request_id *Holder = Ledger.runOfKey(Query.Key)) {
+    join(Link, Query.Run, *Holder);
+    return;
+  }
+  if (Query.Claim != 0 && Ledger.fenceClaim(Query.Key, Query.Claim))
+    reply(From, answerWithout(run_outcome::NotRun, refusal::Fenced));
+  else
+    Peers.sendOn(Link, run_absent{Query.Run});
+}
+
+void gate_service::join(link_id Link, const request_id &Attempt,
+                        const request_id &Holder) {
+  Ledger.join(Attempt, Holder);
+  const run_address From{Link, Attempt};
+  if (const run_answer *Known = Ledger.answer(Holder)) {
+    reply(From, *Known);
+    return;
+  }
+  const auto Found = Runs.find(Holder);
+  assert(Found != Runs.end() && "what runs in the ledger is active");
+  auto &Waiting = Found->second->Waiting;
+  // A sender that asks again over a new link is answered there only.
+  std::erase_if(Waiting,
+                [&](const run_address &Known) { return Known.Run == Attempt; });
+  Waiting.push_back(From);
+}
+
+void gate_service::cancel(const run_cancel &Cancel, instant Now) {
+  const request_id Holder = Ledger.holderOf(Cancel.Run);
+  const auto Found = Runs.find(Holder);
+  if (Found == Runs.end())
+    return;
+  const run_pointer Run = Found->second;
+  std::erase_if(Run->Waiting, [&](const run_address &Known) {
+    return Known.Run == Cancel.Run;
+  });
+  if (!Run->Waiting.empty())
+    return;
+  if (Gate.cancel(Holder) == cancel_result::Removed) {
+    refuse(Run, refusal::Cancelled, Now);
+    return;
+  }
+  // Work that may not be repeated goes on, so that a re-send finds its answer.
+  if (!Run->Request.Repeatable || Run->IsCancelled)
+    return;
+  Run->IsCancelled = true;
+  Upstream.cancelUpstream(Run->Token);
+}
+
+void gate_service::upstreamEnded(const upstream_result &Result, instant Now) {
+  const auto Found = ByToken.find(Result.Token);
+  if (Found == ByToken.end())
+    return;
+  const run_pointer Run = Found->second;
+  ByToken.erase(Found);
+  if (Run->OpenSubCalls > 0)
+    Run->SubCallTime += Now - Run->SubCallsSince;
+  finish(Run, answerOf(*Run, Result), Now);
+  const work_result Work{outcomeOf(Result, Run->IsCancelled), Run->SubCallTime};
+  obey(Gate.complete(Run->Request.Run, Work, Now), Now);
+}
+
+run_answer gate_service::answerOf(const active_run &Run,
+                                  const upstream_result &Result) const {
+  run_answer Answer;
+  Answer.ReturnedBudget = Run.Budget.left();
+  switch (Result.End) {
+  case upstream_end::Answered:
+    Answer.Outcome = run_outcome::Completed;
+    Answer.Answer = Result.Answer;
+    break;
+  case upstream_end::Refused:
+    // An upstream that made sub-calls has run, whatever it says.
+    Answer.Outcome = Run.SubCallsByTarget.empty() ? run_outcome::NotRun
+                                                  : run_outcome::Unknown;
+    Answer.Reason = refusal::UpstreamRefused;
+    break;
+  case upstream_end::NotSent:
+    Answer.Outcome = run_outcome::NotRun;
+    Answer.Reason = refusal::UpstreamUnreachable;
+    break;
+  case upstream_end::Broken:
+    Answer.Outcome = run_outcome::Unknown;
+    Answer.Reason =
+        Run.IsCancelled ? refusal::Cancelled : refusal::ConnectionLost;
+    break;
+  }
+  return Answer;
+}
+
+void gate_service::refuse(const run_pointer &Run, refusal Reason, instant Now) {
+  run_answer Answer = answerWithout(run_outcome::NotRun, Reason);
+  Answer.ReturnedBudget = Run->Budget.left();
+  finish(Run, Answer, Now);
+}
+
+void gate_service::finish(const run_pointer &Run, run_answer Answer,
+                          instant Now) {
+  Answer.Run = Run->Request.Run;
+  Answer.PathLevel = static_cast<std::uint32_t>(Run->LevelBelow.index());
+  Ledger.end(Run->Request.Run, Answer);
+  Runs.erase(Run->Request.Run);
+  const instant Started = Run->StartedAt.value_or(Now);
+  Observer.runEnded(Run->Request, Answer, Started - Run->ArrivedAt,
+                    Now - Started);
+  for (const run_address &To : Run->Waiting)
+    reply(To, Answer);
+}
+
+void gate_service::reply(run_address To, run_answer Answer) {
+  Answer.Run = To.Run;
+  Answer.AdmissionLevel = static_cast<std::uint32_t>(Gate.level().index());
+  Answer.PathLevel = std::min(Answer.PathLevel, Answer.AdmissionLevel);
+  Answer.Leaving = Gate.isDraining();
+  Peers.sendOn(To.Link, std::move(Answer));
+}
+
+void gate_service::passTime(instant Now) {
+  Ledger.age(Now);
+  obey(Gate.expire(Now), Now);
+  abandonLate(Now);
+}
+
+void gate_service::abandonLate(instant Now) {
+  for (const auto &[Id, Run] : Runs) {
+    if (Now <= Run->Deadline || !Run->StartedAt || Run->IsCancelled ||
+        !Run->Request.Repeatable)
+      continue;
+    Run->IsCancelled = true;
+    Upstream.cancelUpstream(Run->Token);
+  }
+}
+
+void gate_service::drain(instant Now) { obey(Gate.drain(Now), Now); }
+
+std::optional<sub_call_context>
+gate_service::beginSubCall(const request_id &Token, const std::string &Target,
+                           const std::string &OwnKey, instant Now) {
+  const auto Found = ByToken.find(Token);
+  if (Found == ByToken.end())
+    return std::nullopt;
+  active_run &Run = *Found->second;
+  if (Run.OpenSubCalls++ == 0)
+    Run.SubCallsSince = Now;
+  const unsigned Ordinal = Run.SubCallsByTarget[Target]++;
+  sub_call_context Child;
+  Child.Context = Run.Request.Context;
+  Child.Deadline = Run.Deadline;
+  request_context &Context = Child.Context;
+  const std::string Suffix = OwnKey.empty() ? std::to_string(Ordinal) : OwnKey;
+  Context.Key = boundedKey(Context.Key + "/" + Target + "/" + Suffix);
+  Context.Depth = static_cast<std::uint8_t>(Context.Depth + 1);
+  Context.WorkDone += 1 + Run.CompletedSubCalls;
+  Context.RetryBudget = Run.Budget.lend();
+  return Child;
+}
+
+void gate_service::endSubCall(const request_id &Token, const sub_call_end &End,
+                              instant Now) {
+  const auto Found = ByToken.find(Token);
+  if (Found == ByToken.end())
+    return;
+  active_run &Run = *Found->second;
+  Run.Budget.takeBack(End.LentBudget, End.UnusedBudget);
+  Run.CompletedSubCalls += End.IsCompleted ? 1 : 0;
+  Run.LevelBelow = std::min(Run.LevelBelow, End.PathLevel);
+  assert(Run.OpenSubCalls > 0 && "a sub-call ends once");
+  if (--Run.OpenSubCalls == 0)
+    Run.SubCallTime += Now - Run.SubCallsSince;
+}
+
+} // namespace clementine
--- a/modules/clementine_transport/peers/peer_transport.cpp
+++ b/modules/clementine_transport/peers/peer_transport.cpp
@@ -414,15 +414,15 @@
 
 void peer_transport::stop() { Implementation->stop(); }
 
-void peer_transport::open(link_id Link, const endpoint &Remote) {
+void peer_transport::openLink(link_id Link, const endpoint &Remote) {
   Implementation->push(open_command{Link, Remote});
 }
 
-void peer_transport::send(link_id Link, peer_message Message) {
+void peer_transport::sendOn(link_id Link, peer_message Message) {
   Implementation->push(send_command{Link, std::move(Message)});
 }
 
-void peer_transport::close(link_id Link) {
+void peer_transport::closeLink(link_id Link) {
   Implementation->push(close_command{Link});
 }
 
--- a/modules/clementine_transport/peers/peer_transport.h
+++ b/modules/clementine_transport/peers/peer_transport.h
@@ -11,15 +11,6 @@
 
 namespace clementine {
 
-/// Names one connection between two nodes for as long as it lasts.
-///
-/// Identifiers of dialled links are chosen by whoever dials and stay below
-/// FirstAcceptedLink; the transport numbers accepted links from there on.
-using link_id = std::uint64_t;
-
-/// The first identifier of an accepted link.
-constexpr link_id FirstAcceptedLink = 1ULL << 63U;
-
 /// Hears what happens on links. Called on the transport's thread.
 class peer_link_listener {
 public:
@@ -37,21 +28,6 @@
   virtual bool messageArrived(link_id Link, peer_message &Message) = 0;
 };
 
-/// Sends to other nodes. The narrow side that decisions see.
-class peer_sender {
-public:
-  virtual ~peer_sender() = default;
-
-  /// Opens a link; linkUp or linkDown follows.
-  virtual void open(link_id Link, const endpoint &Remote) = 0;
-
-  /// Sends on a link; without effect when the link is gone.
-  virtual void send(link_id Link, peer_message Message) = 0;
-
-  /// Closes a link; linkDown follows.
-  virtual void close(link_id Link) = 0;
-};
-
 /// Limits of the TCP transport.
 struct peer_transport_settings {
   /// Where to accept links.
@@ -64,7 +40,7 @@
 };
 
 /// The TCP links of a node, on a thread of their own.
-class peer_transport final : public supervised, public peer_sender {
+class peer_transport final : public supervised, public peer_port {
 public:
   /// @param Listener has to outlive the transport.
   /// @param Keys is copied.
@@ -83,9 +59,9 @@
   void start() override;
   void stop() override;
 
-  void open(link_id Link, const endpoint &Remote) override;
-  void send(link_id Link, peer_message Message) override;
-  void close(link_id Link) override;
+  void openLink(link_id Link, const endpoint &Remote) override;
+  void sendOn(link_id Link, peer_message Message) override;
+  void closeLink(link_id Link) override;
 
 private:
   class implementation;
--- a/modules/clementine_wire/clementine_wire.h
+++ b/modules/clementine_wire/clementine_wire.h
@@ -5,6 +5,7 @@
 #define CLEMENTINE_WIRE_H
 
 #include "clementine_wire/codec/message_codec.h"
+#include "clementine_wire/links/node_link.h"
 #include "clementine_wire/messages/messages.h"
 
 #endif
--- a/modules/clementine_wire/codec/message_codec.cpp
+++ b/modules/clementine_wire/codec/message_codec.cpp
@@ -74,8 +74,8 @@
   Fields(Context.Request, name(Context.Caller), key(Context.Key));
   enumerator(Fields, Context.Importance, ImportanceLevels);
   enumerator(Fields, Context.Send, 3);
-  Fields(Context.Depth, Context.RemainingMicroseconds, Context.RetryBudget,
-         name(Context.TraceParent));
+  Fields(Context.Depth, Context.WorkDone, Context.RemainingMicroseconds,
+         Context.RetryBudget, name(Context.TraceParent));
 }
 
 template <class Archive> void serialize(Archive &Fields, run_request &Request) {
@@ -89,7 +89,7 @@
   enumerator(Fields, Answer.Outcome, 3);
   enumerator(Fields, Answer.Reason, RefusalCount);
   Fields(Answer.Answer, Answer.ReturnedBudget, Answer.AdmissionLevel,
-         Answer.Leaving);
+         Answer.PathLevel, Answer.Leaving);
 }
 
 template <class Archive> void serialize(Archive &Fields, run_query &Query) {
--- a/modules/clementine_wire/messages/messages.h
+++ b/modules/clementine_wire/messages/messages.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -33,6 +34,8 @@
   send_number Send = send_number::Unnumbered;
   /// How many hops lie above this one.
   std::uint8_t Depth = 0;
+  /// How many hops have been completed for the whole request.
+  std::uint32_t WorkDone = 0;
   /// The time left for this hop, in microseconds.
   std::uint64_t RemainingMicroseconds = 0;
   /// The extra attempts lent to this hop and everything below it.
@@ -85,31 +88,59 @@
   auto operator<=>(const run_request &) const = default;
 };
 
-/// Why a request was not run.
+/// Why a request was not run, or why what became of it is unknown.
 enum class refusal : std::uint8_t {
   None = 0,
+  /// The upstream's gate sheds load.
   Overloaded,
+  /// A more important request took its place in the queue.
+  Displaced,
+  /// The node or its upstream is leaving.
   Leaving,
+  /// There was not enough time left.
   DeadlinePassed,
+  /// The records of requests that may not be repeated are full.
   LedgerFull,
+  /// No connection to the upstream could be opened.
   UpstreamUnreachable,
+  /// The upstream itself said that it did not run the request.
   UpstreamRefused,
+  /// The node has no upstream for the service, or knows no node that has.
   NoUpstream,
+  /// A re-send made sure that this send never runs.
   Fenced,
+  /// The caller is above a limit of the bundle.
   CallerLimit,
+  /// The node has no bundle yet.
   NoBundle,
   UnknownCaller,
   UnknownOperation,
+  /// A request that may not be repeated came without an idempotency key.
   KeyRequired,
+  /// The platform could not record the claim.
   ClaimUnavailable,
+  /// The request breaks the protocol.
   Malformed,
+  /// A ring or table of the node is full.
   NodeBusy,
-  Displaced,
+  /// No node of the service could be reached.
+  NodeUnreachable,
+  /// The connection broke after the request was sent.
+  ConnectionLost,
+  /// The node that held the request was replaced.
+  NodeReplaced,
+  /// No node holds a record of an earlier send.
+  NoRecord,
+  /// The caller withdrew the request.
+  Cancelled,
 };
 
 /// The number of enumerators of refusal.
 constexpr std::uint8_t RefusalCount =
-    static_cast<std::uint8_t>(refusal::Displaced) + 1;
+    static_cast<std::uint8_t>(refusal::Cancelled) + 1;
+
+/// @returns a short lower-case name of @p Reason, such as `overloaded`.
+std::string_view refusalName(refusal Reason);
 
 /// The three truths that a caller can be told.
 enum class run_outcome : std::uint8_t {
@@ -129,8 +160,10 @@
   http_answer Answer;
   /// The unused part of the lent retry budget.
   std::uint32_t ReturnedBudget = 0;
-  /// The answering upstream's admission level, encoded by the admission module.
+  /// The admission level of the answering gate, as an index.
   std::uint32_t AdmissionLevel = 0;
+  /// The strictest level of this gate and of all that its run called.
+  std::uint32_t PathLevel = 0;
   /// Whether the answering node is leaving.
   bool Leaving = false;
 
