Routing: route chooser, hints, retries and callers' limits

Cause: the node needs to decide where a call goes, whether it may be tried again, and whether its caller is within limits, without I/O. Ruled out: a fixed retry count per hop (multiplies with depth); callers' limits by an equal split (a caller at one of N nodes would get 1/N) or by gossiped demand alone (k nodes that start at once would each take it all). Change: route_chooser (two choices, own data centre first, levels, slow start, subsets, silence), admission_hints, retry_budget, retry_throttle, decideRetry; caller_limits with leased shares from a caller_allocator.

--- /dev/null
+++ b/modules/clementine_routing/callers/caller_allocator.cpp
@@ -0,0 +1,103 @@
+#include "clementine_routing/callers/caller_allocator.h"
+
+#include <algorithm>
+
+namespace clementine {
+
+namespace {
+
+/// A node reports this often within the life of a grant, so that a lost report
+/// does not end it.
+constexpr int ReportsPerGrant = 3;
+
+/// A node that reports faster than its grants end gets no further ones.
+constexpr std::size_t MostIssued = 16;
+
+} // namespace
+
+caller_allocator::caller_allocator(caller_allocator_settings Settings,
+                                   instant ResponsibleSince)
+    : Settings(Settings), ResponsibleSince(ResponsibleSince) {}
+
+usage_grant caller_allocator::report(const usage_report &Report,
+                                     double ReachablePart, instant Now) {
+  forgetSilentHolders(Now);
+  holder &Own = Holders[Report.Node];
+  Own.HeardAt = Now;
+  Own.Demand = std::max(0.0, Report.Demand);
+  learnHeld(Own, Report, Now);
+
+  const double Part =
+      Settings.GrantedPart * std::clamp(ReachablePart, 0.0, 1.0);
+  const double Others = reservedShares(Now) - Own.reserved(Now);
+  const double Free = std::max(0.0, Part - Others);
+  double Share = std::min(fairShare(Own, Part), Free);
+  const duration Length = grantLength();
+  // The grants of an allocator before this one show only when their holders
+  // report, and all of them are over after one length.
+  if (Now - ResponsibleSince < Length || Own.Issued.size() >= MostIssued)
+    Share =
+        std::min(Share, Report.HeldFor > duration(0) ? Report.HeldShare : 0);
+
+  ++Own.LastSequence;
+  if (Own.Issued.size() >= MostIssued)
+    Own.Issued.erase(Own.Issued.begin());
+  Own.Issued.push_back({Own.LastSequence, Share, Now + Length});
+  return {Own.LastSequence, Share, Length, Length / ReportsPerGrant};
+}
+
+void caller_allocator::forgetSilentHolders(instant Now) {
+  const duration Length = grantLength();
+  std::erase_if(Holders, [&](const auto &Entry) {
+    const holder &Holder = Entry.second;
+    return Now - Holder.HeardAt > Length && Holder.reserved(Now) == 0;
+  });
+}
+
+void caller_allocator::learnHeld(holder &Holder, const usage_report &Report,
+                                 instant Now) {
+  std::erase_if(Holder.Issued, [&](const issued_grant &Grant) {
+    return Grant.Until <= Now || Grant.Sequence < Report.HeldSequence;
+  });
+  Holder.LastSequence = std::max(Holder.LastSequence, Report.HeldSequence);
+  const bool IsKnown =
+      std::any_of(Holder.Issued.begin(), Holder.Issued.end(),
+                  [&](const issued_grant &Grant) {
+                    return Grant.Sequence == Report.HeldSequence;
+                  });
+  if (!IsKnown && Report.HeldFor > duration(0))
+    Holder.Issued.push_back(
+        {Report.HeldSequence, Report.HeldShare, Now + Report.HeldFor});
+}
+
+double caller_allocator::holder::reserved(instant Now) const {
+  double Most = 0;
+  for (const issued_grant &Grant : Issued)
+    if (Grant.Until > Now)
+      Most = std::max(Most, Grant.Share);
+  return Most;
+}
+
+double caller_allocator::reservedShares(instant Now) const {
+  double Sum = 0;
+  for (const auto &[Node, Holder] : Holders)
+    Sum += Holder.reserved(Now);
+  return Sum;
+}
+
+double caller_allocator::fairShare(const holder &Holder, double Part) const {
+  double All = 0;
+  for (const auto &[Node, Other] : Holders)
+    All += Other.Demand;
+  return All > 0 ? Part * Holder.Demand / All : 0;
+}
+
+duration caller_allocator::grantLength() const {
+  const double Seconds = static_cast<double>(Holders.size()) * ReportsPerGrant /
+                         Settings.ReportsPerSecond;
+  const std::chrono::duration<double> Wanted(Seconds);
+  return std::max(Settings.ShortestGrant,
+                  std::chrono::duration_cast<duration>(Wanted));
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_routing/callers/caller_limits.cpp
@@ -0,0 +1,154 @@
+#include "clementine_routing/callers/caller_limits.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace clementine {
+
+namespace {
+
+/// A caller at its concurrency limit is told to come back after this time,
+/// since nothing says when one of its requests will end.
+constexpr duration ConcurrencyRetryAfter = std::chrono::milliseconds(100);
+
+double seconds(duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+/// A part of an infinite limit stays infinite, even if the part is 0.
+double partOf(double Limit, double Part) {
+  return std::isinf(Limit) ? Limit : Limit * Part;
+}
+
+double burstOf(double Rate, duration Burst) {
+  return std::max(1.0, Rate * seconds(Burst));
+}
+
+} // namespace
+
+caller_limits::caller_limits(caller_limits_settings Settings)
+    : Settings(std::move(Settings)) {}
+
+void caller_limits::setLimit(const std::string &Caller, caller_limit Limit) {
+  Callers[Caller].Limit = Limit;
+}
+
+void caller_limits::removeCaller(const std::string &Caller) {
+  Callers.erase(Caller);
+}
+
+void caller_limits::setNodeCount(std::size_t Count) {
+  Nodes = std::max<std::size_t>(Count, 1);
+}
+
+result<void, caller_refusal> caller_limits::begin(const std::string &Caller,
+                                                  double Cost, instant Now) {
+  const auto Known = Callers.find(Caller);
+  if (Known == Callers.end())
+    return caller_refusal{caller_limit_kind::UnknownCaller, duration(0)};
+  caller_state &State = Known->second;
+  countDemand(State, Cost, Now);
+
+  const double Part = part(State, Now);
+  const double Concurrency =
+      std::max(1.0, std::floor(partOf(State.Limit.Concurrency, Part)));
+  if (static_cast<double>(State.Running) >= Concurrency)
+    return caller_refusal{caller_limit_kind::Concurrency,
+                          ConcurrencyRetryAfter};
+
+  const double Rate = partOf(State.Limit.Rate, Part);
+  const double RateBurst = burstOf(Rate, Settings.Burst);
+  if (!std::isinf(Rate))
+    State.Requests.refill(Rate, RateBurst, Now);
+  if (!std::isinf(Rate) && !State.Requests.has(1.0, RateBurst))
+    return caller_refusal{caller_limit_kind::Rate,
+                          State.Requests.waitFor(1.0, RateBurst, Rate)};
+
+  const double CostRate = partOf(State.Limit.CostRate, Part);
+  const double CostBurst = burstOf(CostRate, Settings.Burst);
+  if (!std::isinf(CostRate))
+    State.Cost.refill(CostRate, CostBurst, Now);
+  if (!std::isinf(CostRate) && !State.Cost.has(Cost, CostBurst))
+    return caller_refusal{caller_limit_kind::Cost,
+                          State.Cost.waitFor(Cost, CostBurst, CostRate)};
+
+  State.Requests.take(std::isinf(Rate) ? 0.0 : 1.0);
+  State.Cost.take(std::isinf(CostRate) ? 0.0 : Cost);
+  ++State.Running;
+  return success();
+}
+
+void caller_limits::end(const std::string &Caller) {
+  const auto Known = Callers.find(Caller);
+  if (Known != Callers.end() && Known->second.Running > 0)
+    --Known->second.Running;
+}
+
+std::optional<usage_report> caller_limits::takeReport(const std::string &Caller,
+                                                      instant Now) {
+  const auto Known = Callers.find(Caller);
+  if (Known == Callers.end() || Now < Known->second.NextReport)
+    return std::nullopt;
+  caller_state &State = Known->second;
+  decayDemand(State, Now);
+  const double Demand = demand(State);
+  const bool Holds = Now < State.GrantUntil;
+  constexpr double LeastDemand = 1e-6;
+  if (Demand < LeastDemand && !Holds)
+    return std::nullopt;
+  State.NextReport =
+      Now + (Holds ? State.Grant.ReportAfter : Settings.FirstReportInterval);
+  return usage_report{Settings.OwnName, Demand, State.Grant.Sequence,
+                      Holds ? State.Grant.Share : 0.0,
+                      Holds ? State.GrantUntil - Now : duration(0)};
+}
+
+void caller_limits::onGrant(const std::string &Caller, const usage_grant &Grant,
+                            instant ReportedAt) {
+  const auto Known = Callers.find(Caller);
+  if (Known == Callers.end())
+    return;
+  caller_state &State = Known->second;
+  if (Grant.Sequence <= State.Grant.Sequence)
+    return;
+  State.Grant = Grant;
+  State.GrantUntil = ReportedAt + Grant.ValidFor;
+  State.NextReport = ReportedAt + Grant.ReportAfter;
+}
+
+double caller_limits::part(const std::string &Caller, instant Now) const {
+  const auto Known = Callers.find(Caller);
+  return Known == Callers.end() ? 0.0 : part(Known->second, Now);
+}
+
+double caller_limits::part(const caller_state &State, instant Now) const {
+  const double Equal = Settings.EqualPart / static_cast<double>(Nodes);
+  return Equal + (Now < State.GrantUntil ? State.Grant.Share : 0.0);
+}
+
+void caller_limits::countDemand(caller_state &State, double Cost,
+                                instant Now) const {
+  decayDemand(State, Now);
+  State.AskedRequests += 1.0;
+  State.AskedCost += Cost;
+}
+
+void caller_limits::decayDemand(caller_state &State, instant Now) const {
+  const double Kept = std::exp(-seconds(Now - State.DecayedAt) /
+                               seconds(Settings.DemandMemory));
+  State.AskedRequests *= Kept;
+  State.AskedCost *= Kept;
+  State.DecayedAt = Now;
+}
+
+double caller_limits::demand(const caller_state &State) const {
+  const double Memory = seconds(Settings.DemandMemory);
+  const double ByRate = State.AskedRequests / Memory / State.Limit.Rate;
+  const double ByCost = State.AskedCost / Memory / State.Limit.CostRate;
+  const double ByConcurrency =
+      static_cast<double>(State.Running) / State.Limit.Concurrency;
+  return std::max({ByRate, ByCost, ByConcurrency});
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_routing/clementine_routing.h
@@ -0,0 +1,22 @@
+/// Decides where a call goes, whether it may be tried again, and whether its
+/// caller is within its limits.
+///
+/// All decisions are free of I/O and threads; an embedder hands in events and
+/// the time.
+///
+/// Needs clementine_core, and clementine_admission for ranks and levels.
+#ifndef CLEMENTINE_ROUTING_H
+#define CLEMENTINE_ROUTING_H
+
+#include "clementine_routing/callers/caller_allocator.h"
+#include "clementine_routing/callers/caller_limits.h"
+#include "clementine_routing/callers/token_bucket.h"
+#include "clementine_routing/retries/retry_budget.h"
+#include "clementine_routing/retries/retry_policy.h"
+#include "clementine_routing/retries/retry_throttle.h"
+#include "clementine_routing/routes/admission_hints.h"
+#include "clementine_routing/routes/aged_level.h"
+#include "clementine_routing/routes/route_candidate.h"
+#include "clementine_routing/routes/route_chooser.h"
+
+#endif
--- /dev/null
+++ b/modules/clementine_routing/routes/route_chooser.cpp
@@ -0,0 +1,285 @@
+#include "clementine_routing/routes/route_chooser.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace clementine {
+
+namespace {
+
+/// The weight of one answer in the mean latency of an instance.
+constexpr double LatencyGain = 0.2;
+
+/// The weight of one answer in the mean latency of the service.
+constexpr double MeanGain = 0.02;
+
+/// The weight of one answer in the share of failures.
+constexpr double FailureGain = 0.0625;
+
+/// An instance that fails always looks this much slower, since failures may be
+/// quick and would draw calls.
+constexpr double FailurePenalty = 8.0;
+
+constexpr double ShortestLatency = 1000.0;
+
+double moved(double Mean, double Sample, double Gain) {
+  return Mean == 0 ? Sample : Mean + (Sample - Mean) * Gain;
+}
+
+double ageShare(instant Since, instant Now, duration Whole) {
+  return std::clamp(static_cast<double>((Now - Since).count()) /
+                        static_cast<double>(Whole.count()),
+                    0.0, 1.0);
+}
+
+} // namespace
+
+route_chooser::route_chooser(route_settings Settings, random_source &Random)
+    : Settings(std::move(Settings)), Random(Random) {}
+
+void route_chooser::setCandidates(
+    const std::vector<route_candidate> &Candidates, instant Now) {
+  std::vector<instance> Next;
+  Next.reserve(Candidates.size());
+  for (const route_candidate &Candidate : Candidates) {
+    assert(Candidate.Weight > 0 && "a weight is positive");
+    const instance *Known = find(Candidate.Node);
+    Next.push_back(Known ? *Known : instance{Candidate, Now});
+    Next.back().Candidate = Candidate;
+  }
+  Instances = std::move(Next);
+  ByName.clear();
+  for (std::size_t Index = 0; Index < Instances.size(); ++Index)
+    ByName[Instances[Index].Candidate.Node.Name] = Index;
+  rebuildSubsets();
+}
+
+void route_chooser::rebuildSubsets() {
+  Near.clear();
+  Far.clear();
+  for (std::size_t Index = 0; Index < Instances.size(); ++Index) {
+    const route_candidate &Candidate = Instances[Index].Candidate;
+    if (Candidate.Leaving)
+      continue;
+    const bool IsNear = Candidate.DataCentre == Settings.OwnDataCentre;
+    (IsNear ? Near : Far).push_back(Index);
+  }
+  cutToSubset(Near);
+  cutToSubset(Far);
+}
+
+void route_chooser::cutToSubset(index_list &Part) const {
+  if (Part.size() <= Settings.SubsetSize)
+    return;
+  std::vector<std::pair<std::uint64_t, std::size_t>> Ranked;
+  Ranked.reserve(Part.size());
+  for (const std::size_t Index : Part)
+    Ranked.emplace_back(stableHash(Settings.OwnName + "\n" +
+                                   Instances[Index].Candidate.Node.Name),
+                        Index);
+  std::sort(Ranked.begin(), Ranked.end());
+  Part.clear();
+  for (std::size_t Place = 0; Place < Settings.SubsetSize; ++Place)
+    Part.push_back(Ranked[Place].second);
+}
+
+result<route_choice, route_failure>
+route_chooser::choose(const route_request &Request, instant Now) {
+  if (const instance *Best = pickOfTwo(Near, Request, Now))
+    return choiceOf(*Best, false);
+  if (const instance *Best = pickOfTwo(Far, Request, Now))
+    return choiceOf(*Best, false);
+  if (const instance *Past = pickPastLevel(Request, Now))
+    return choiceOf(*Past, true);
+  const route_failure Failure = failureOf(Request);
+  if (Failure == route_failure::AllWouldRefuse)
+    if (const instance *Silent = pickSilent(Request))
+      return choiceOf(*Silent, true);
+  return Failure;
+}
+
+const route_chooser::instance *
+route_chooser::pickOfTwo(const index_list &Part, const route_request &Request,
+                         instant Now) {
+  if (Part.empty())
+    return nullptr;
+  const instance &First = Instances[Part[Random.below(Part.size())]];
+  const instance &Second = Instances[Part[Random.below(Part.size())]];
+  if (&First != &Second && isOpen(First, Request, Now) &&
+      isOpen(Second, Request, Now))
+    return betterOf(&First, &Second, Now);
+
+  Open.clear();
+  for (const std::size_t Index : Part)
+    if (isOpen(Instances[Index], Request, Now))
+      Open.push_back(Index);
+  if (Open.empty())
+    return nullptr;
+  const std::size_t Left = Random.below(Open.size());
+  if (Open.size() == 1)
+    return &Instances[Open[Left]];
+  // The second draw leaves out the first, so that two are compared.
+  const std::size_t Right =
+      (Left + 1 + Random.below(Open.size() - 1)) % Open.size();
+  return betterOf(&Instances[Open[Left]], &Instances[Open[Right]], Now);
+}
+
+const route_chooser::instance *route_chooser::betterOf(const instance *Left,
+                                                       const instance *Right,
+                                                       instant Now) const {
+  return score(*Right, Now) < score(*Left, Now) ? Right : Left;
+}
+
+route_chooser::instance *
+route_chooser::pickPastLevel(const route_request &Request, instant Now) {
+  const bool MustTry = Request.Rank.Importance <= importance::High;
+  instance *Best = nullptr;
+  for (const index_list *Part : {&Near, &Far}) {
+    for (const std::size_t Index : *Part) {
+      instance &Instance = Instances[Index];
+      if (!isUsable(Instance, Request) || Now < Instance.SilentUntil)
+        continue;
+      if (!MustTry && Instance.Level.takeProbe(Settings.Ageing, Now))
+        return &Instance;
+      if (!Best || Best->Level.level(Settings.Ageing, Now) <
+                       Instance.Level.level(Settings.Ageing, Now))
+        Best = &Instance;
+    }
+  }
+  return MustTry ? Best : nullptr;
+}
+
+const route_chooser::instance *
+route_chooser::pickSilent(const route_request &Request) const {
+  // Silence of all is more likely a fault on this side; waiting for the end of
+  // the pauses would turn it into an outage.
+  const instance *Soonest = nullptr;
+  for (const index_list *Part : {&Near, &Far}) {
+    for (const std::size_t Index : *Part) {
+      const instance &Instance = Instances[Index];
+      if (!isUsable(Instance, Request))
+        continue;
+      if (Instance.Silences == 0)
+        return nullptr;
+      if (!Soonest || Instance.SilentUntil < Soonest->SilentUntil)
+        Soonest = &Instance;
+    }
+  }
+  return Soonest;
+}
+
+bool route_chooser::isUsable(const instance &Instance,
+                             const route_request &Request) const {
+  const auto &Excluded = Request.Excluded;
+  return std::find(Excluded.begin(), Excluded.end(),
+                   Instance.Candidate.Node.Name) == Excluded.end();
+}
+
+bool route_chooser::isOpen(const instance &Instance,
+                           const route_request &Request, instant Now) const {
+  return Now >= Instance.SilentUntil && isUsable(Instance, Request) &&
+         Instance.Level.level(Settings.Ageing, Now).admits(Request.Rank);
+}
+
+double route_chooser::score(const instance &Instance, instant Now) const {
+  double Latency = Mean;
+  if (Instance.Latency > 0) {
+    const double Age =
+        ageShare(Instance.MeasuredAt, Now, Settings.LatencyMemory);
+    Latency = Instance.Latency + (Mean - Instance.Latency) * Age;
+  }
+  double Share = Instance.Candidate.Weight;
+  if (Instance.Candidate.Warming) {
+    const double Warmth = ageShare(Instance.FirstSeen, Now, Settings.SlowStart);
+    Share *= Settings.FirstShare + (1.0 - Settings.FirstShare) * Warmth;
+  }
+  const double Failures = 1.0 + FailurePenalty * Instance.FailureShare;
+  return static_cast<double>(Instance.InFlight + 1) *
+         std::max(Latency, ShortestLatency) * Failures / Share;
+}
+
+route_choice route_chooser::choiceOf(const instance &Instance,
+                                     bool IsProbe) const {
+  const route_candidate &Candidate = Instance.Candidate;
+  return {Candidate.Node, Candidate.DataCentre != Settings.OwnDataCentre,
+          IsProbe};
+}
+
+route_failure route_chooser::failureOf(const route_request &Request) const {
+  if (Near.empty() && Far.empty())
+    return route_failure::NoInstance;
+  const auto Usable = [&](std::size_t Index) {
+    return isUsable(Instances[Index], Request);
+  };
+  const bool AnyUsable = std::any_of(Near.begin(), Near.end(), Usable) ||
+                         std::any_of(Far.begin(), Far.end(), Usable);
+  return AnyUsable ? route_failure::AllWouldRefuse : route_failure::AllTried;
+}
+
+void route_chooser::onSend(const node_identity &Node, instant) {
+  if (instance *Instance = find(Node))
+    ++Instance->InFlight;
+}
+
+void route_chooser::onAnswer(const node_identity &Node, answer_kind Kind,
+                             duration Latency, admission_level Level,
+                             instant Now) {
+  instance *Instance = find(Node);
+  if (!Instance)
+    return;
+  if (Instance->InFlight > 0)
+    --Instance->InFlight;
+  Instance->Level.learn(Level, Now);
+  Instance->Silences = 0;
+  Instance->SilentUntil = {};
+  if (Kind == answer_kind::Refused)
+    return;
+  const double Failed = Kind == answer_kind::Failed ? 1.0 : 0.0;
+  Instance->FailureShare += (Failed - Instance->FailureShare) * FailureGain;
+  if (Kind != answer_kind::Completed)
+    return;
+  const auto Nanoseconds = static_cast<double>(Latency.count());
+  Instance->Latency = moved(Instance->Latency, Nanoseconds, LatencyGain);
+  Instance->MeasuredAt = Now;
+  Mean = moved(Mean, Nanoseconds, MeanGain);
+}
+
+void route_chooser::onSilence(const node_identity &Node, instant Now) {
+  instance *Instance = find(Node);
+  if (!Instance)
+    return;
+  if (Instance->InFlight > 0)
+    --Instance->InFlight;
+  constexpr unsigned MostDoublings = 16;
+  const duration Pause = Settings.SilencePause *
+                         (1U << std::min(Instance->Silences, MostDoublings));
+  Instance->SilentUntil = Now + std::min(Pause, Settings.LongestSilencePause);
+  ++Instance->Silences;
+}
+
+void route_chooser::onAlive(const node_identity &Node) {
+  instance *Instance = find(Node);
+  if (!Instance)
+    return;
+  Instance->Silences = 0;
+  Instance->SilentUntil = {};
+}
+
+std::size_t route_chooser::inFlight(const node_identity &Node) const {
+  const auto Known = ByName.find(Node.Name);
+  if (Known == ByName.end())
+    return 0;
+  const instance &Instance = Instances[Known->second];
+  return Instance.Candidate.Node == Node ? Instance.InFlight : 0;
+}
+
+route_chooser::instance *route_chooser::find(const node_identity &Node) {
+  const auto Known = ByName.find(Node.Name);
+  if (Known == ByName.end())
+    return nullptr;
+  instance &Instance = Instances[Known->second];
+  return Instance.Candidate.Node == Node ? &Instance : nullptr;
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_routing/routes/route_chooser.h
@@ -0,0 +1,177 @@
+#ifndef CLEMENTINE_ROUTING_ROUTES_ROUTE_CHOOSER_H
+#define CLEMENTINE_ROUTING_ROUTES_ROUTE_CHOOSER_H
+
+#include "clementine_admission/gate/admission_level.h"
+#include "clementine_core/errors/result.h"
+#include "clementine_core/random/random_source.h"
+#include "clementine_core/time/clock.h"
+#include "clementine_routing/routes/aged_level.h"
+#include "clementine_routing/routes/route_candidate.h"
+
+#include <compare>
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace clementine {
+
+/// How a route_chooser chooses.
+struct route_settings {
+  /// The name of the choosing node; it decides the subset.
+  std::string OwnName;
+  std::string OwnDataCentre;
+  /// The most instances used in the own data centre, and again in the others.
+  std::size_t SubsetSize = 20;
+  /// A warming instance reaches its full share after this time.
+  duration SlowStart = std::chrono::seconds(10);
+  /// The share of a warming instance at first.
+  double FirstShare = 0.1;
+  /// A measured latency counts less with age, and no more after this time, so
+  /// that an instance which was slow is tried again.
+  duration LatencyMemory = std::chrono::seconds(10);
+  /// How long an instance that was silent is avoided; doubles each time.
+  duration SilencePause = std::chrono::seconds(1);
+  duration LongestSilencePause = std::chrono::seconds(8);
+  aged_level_settings Ageing;
+
+  auto operator<=>(const route_settings &) const = default;
+};
+
+/// A call that needs an instance.
+struct route_request {
+  admission_rank Rank;
+  /// The names of nodes that this call has tried already.
+  std::vector<std::string> Excluded;
+
+  auto operator<=>(const route_request &) const = default;
+};
+
+/// Where a call goes.
+struct route_choice {
+  node_identity Node;
+  /// It goes to another data centre.
+  bool IsSpill = false;
+  /// Its level says that it would be refused; the call tests that.
+  bool IsProbe = false;
+
+  auto operator<=>(const route_choice &) const = default;
+};
+
+/// Why a call goes nowhere. It was not sent, so it was not run.
+enum class route_failure : std::uint8_t {
+  /// No instance is known that takes work.
+  NoInstance,
+  /// All instances have been tried.
+  AllTried,
+  /// All instances would refuse it as far as is known.
+  AllWouldRefuse,
+};
+
+/// How an answered call ended.
+enum class answer_kind : std::uint8_t {
+  /// The upstream answered.
+  Completed,
+  /// The gate refused it; that says nothing about latency.
+  Refused,
+  /// The upstream failed.
+  Failed,
+};
+
+/// Chooses the instance of one service for each call.
+///
+/// Among the instances whose level admits the call it takes the better of two
+/// random ones by (calls in flight + 1) * latency / share; those of the own
+/// data centre go first, the others are used only when none there admits it.
+/// If none admits it anywhere, a critical or high call still goes to the
+/// instance with the most open level, and others only as probes.
+///
+/// Large services are cut to subsets by rendezvous hash, so that a change of
+/// one instance changes few connections.
+///
+/// @see Mitzenmacher: The Power of Two Choices in Randomized Load Balancing,
+/// 2001.
+class route_chooser {
+public:
+  /// @param Random outlives the chooser.
+  route_chooser(route_settings Settings, random_source &Random);
+
+  route_chooser(const route_chooser &) = delete;
+  route_chooser &operator=(const route_chooser &) = delete;
+
+  /// Takes in the present instances. What was learned of an instance stays as
+  /// long as its incarnation.
+  void setCandidates(const std::vector<route_candidate> &Candidates,
+                     instant Now);
+
+  /// Chooses an instance. The choice counts as in flight from onSend() on.
+  result<route_choice, route_failure> choose(const route_request &Request,
+                                             instant Now);
+
+  /// Counts a call that is sent to a node.
+  void onSend(const node_identity &Node, instant Now);
+
+  /// Learns from an answer. It ends the call.
+  void onAnswer(const node_identity &Node, answer_kind Kind, duration Latency,
+                admission_level Level, instant Now);
+
+  /// Learns that a call got no answer. It ends the call, and the instance is
+  /// avoided for a while.
+  void onSilence(const node_identity &Node, instant Now);
+
+  /// Learns that a silent node answers again, by a heartbeat or a late answer.
+  void onAlive(const node_identity &Node);
+
+  /// @returns how many calls are in flight to a node.
+  std::size_t inFlight(const node_identity &Node) const;
+
+  /// @returns how many instances are in use, after the cut to subsets.
+  std::size_t size() const { return Near.size() + Far.size(); }
+
+  /// @returns the mean latency of the service, 0 if unknown.
+  duration meanLatency() const { return duration(duration::rep(Mean)); }
+
+private:
+  struct instance {
+    route_candidate Candidate;
+    instant FirstSeen;
+    std::size_t InFlight = 0;
+    /// Nanoseconds; 0 if unknown.
+    double Latency = 0;
+    instant MeasuredAt;
+    double FailureShare = 0;
+    unsigned Silences = 0;
+    instant SilentUntil;
+    aged_level Level;
+  };
+  using index_list = std::vector<std::size_t>;
+
+  void rebuildSubsets();
+  void cutToSubset(index_list &Part) const;
+  instance *find(const node_identity &Node);
+  const instance *pickOfTwo(const index_list &Part,
+                            const route_request &Request, instant Now);
+  const instance *betterOf(const instance *Left, const instance *Right,
+                           instant Now) const;
+  instance *pickPastLevel(const route_request &Request, instant Now);
+  const instance *pickSilent(const route_request &Request) const;
+  bool isUsable(const instance &Instance, const route_request &Request) const;
+  bool isOpen(const instance &Instance, const route_request &Request,
+              instant Now) const;
+  double score(const instance &Instance, instant Now) const;
+  route_choice choiceOf(const instance &Instance, bool IsProbe) const;
+  route_failure failureOf(const route_request &Request) const;
+
+  const route_settings Settings;
+  random_source &Random;
+  std::vector<instance> Instances;
+  std::unordered_map<std::string, std::size_t> ByName;
+  index_list Near;
+  index_list Far;
+  index_list Open;
+  double Mean = 0;
+};
+
+} // namespace clementine
+
+#endif
