Add the platform's interface and a client of the etcd v3 JSON mapping

Cause: bundles, seeds and claims need one way to the platform's key-value service that says for each failed change whether it was certainly not made. Ruled out: ulfius' own client, which makes a handle and so a connection for each request (a millisecond, and connections are counted); libcurl with its own copy of the body, which sends a write again by itself when a kept connection closes before a byte of the answer. Change: platform_store, platform_error with cause and effect, http_channel on libcurl with kept connections, capped answers and a body that can't be sent twice, etcd_codec free of I/O, keyspace (the data model in memory, free of I/O) and memory_platform_store for tests and stand-ins. Conclusion: other modules can build on the interface and its in-memory store.

--- /dev/null
+++ b/modules/clementine_platform/etcd/base64.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINE_PLATFORM_ETCD_BASE64_H
+#define CLEMENTINE_PLATFORM_ETCD_BASE64_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace clementine {
+
+/// @returns the base64 form of @p Bytes with padding (RFC 4648, section 4).
+std::string encodeBase64(std::string_view Bytes);
+
+/// @returns the bytes, or nothing unless @p Text is whole, padded base64.
+std::optional<std::string> decodeBase64(std::string_view Text);
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_platform/etcd/etcd_codec.h
@@ -0,0 +1,122 @@
+#ifndef CLEMENTINE_PLATFORM_ETCD_ETCD_CODEC_H
+#define CLEMENTINE_PLATFORM_ETCD_ETCD_CODEC_H
+
+#include "clementine_core/errors/result.h"
+#include "clementine_platform/store/platform_types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// The published JSON mapping of etcd v3: keys and values in base64, 64-bit
+/// numbers as texts, fields of value zero left out. Free of I/O, used by the
+/// client and by stand-ins for the service.
+namespace clementine::etcd {
+
+/// Which part of a message did not follow the mapping.
+struct codec_error {
+  enum class fault : std::uint8_t {
+    NotJson,
+    NotAnObject,
+    WrongType,
+    BadNumber,
+    BadBase64,
+    Missing,
+  };
+
+  fault Fault = fault::NotJson;
+  /// The name of the field, empty for the whole message.
+  std::string Field;
+
+  bool operator==(const codec_error &) const = default;
+
+  /// @returns a one-line form for logs.
+  std::string text() const;
+};
+
+/// A read of one key, or of all keys in [Key, RangeEnd).
+struct range_request {
+  std::string Key;
+  std::string RangeEnd;
+
+  bool operator==(const range_request &) const = default;
+};
+
+/// A lease as named in a request or an answer.
+struct lease_message {
+  lease_id Id = 0;
+  std::int64_t TimeToLiveSeconds = 0;
+
+  bool operator==(const lease_message &) const = default;
+};
+
+/// The begin of a watch.
+struct watch_request {
+  std::string Key;
+  std::string RangeEnd;
+  platform_revision StartRevision = 0;
+
+  bool operator==(const watch_request &) const = default;
+};
+
+/// One message of a watch's stream.
+struct watch_message {
+  platform_watch_batch Batch;
+  bool Created = false;
+  bool Canceled = false;
+  platform_revision CompactRevision = 0;
+
+  bool operator==(const watch_message &) const = default;
+};
+
+/// An error as the JSON gateway reports it: a gRPC status code and a text.
+struct gateway_error {
+  std::int64_t Code = 0;
+  std::string Message;
+
+  bool operator==(const gateway_error &) const = default;
+};
+
+/// The gRPC status codes that the client tells apart.
+constexpr std::int64_t CodeInvalidArgument = 3;
+constexpr std::int64_t CodeNotFound = 5;
+constexpr std::int64_t CodeOutOfRange = 11;
+constexpr std::int64_t CodeUnavailable = 14;
+
+/// @returns the end of the range of all keys that begin with @p Prefix.
+std::string prefixEnd(std::string Prefix);
+
+std::string encodeRangeRequest(const range_request &Request);
+std::string encodeTransaction(const platform_transaction &Transaction);
+std::string encodeLeaseGrant(std::int64_t TimeToLiveSeconds);
+std::string encodeLeaseId(lease_id Lease);
+std::string encodeWatchRequest(const watch_request &Request);
+
+std::string encodeRange(const platform_range &Range);
+std::string encodeCommit(const platform_commit &Commit,
+                         const platform_transaction &Transaction);
+std::string encodeLease(const lease_message &Lease);
+std::string encodeKeptLease(const lease_message &Lease);
+std::string encodeWatchMessage(const watch_message &Message);
+std::string encodeGatewayError(const gateway_error &Error);
+
+result<platform_range, codec_error> decodeRange(std::string_view Text);
+result<platform_commit, codec_error> decodeCommit(std::string_view Text);
+result<lease_message, codec_error> decodeLease(std::string_view Text);
+result<lease_message, codec_error> decodeKeptLease(std::string_view Text);
+result<watch_message, codec_error> decodeWatchMessage(std::string_view Text);
+
+/// Reads the error body of an answer that is not 200; any text is accepted,
+/// and what is not the gateway's form becomes the message, cut short.
+gateway_error decodeGatewayError(std::string_view Text);
+
+result<range_request, codec_error> decodeRangeRequest(std::string_view Text);
+result<platform_transaction, codec_error>
+decodeTransaction(std::string_view Text);
+result<lease_message, codec_error> decodeLeaseRequest(std::string_view Text);
+result<watch_request, codec_error> decodeWatchRequest(std::string_view Text);
+
+} // namespace clementine::etcd
+
+#endif
--- /dev/null
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -0,0 +1,302 @@
+#include "clementine_platform/etcd/http_channel.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstring>
+#include <utility>
+
+namespace clementine {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// How often a stream looks at its stop flag.
+constexpr milliseconds StopCheckInterval(50);
+
+/// The most idle connections kept.
+constexpr std::size_t MostIdle = 4;
+
+constexpr long HttpOk = 200;
+
+/// TCP keepalive probes, in seconds, for a connection gone silent.
+constexpr long KeepaliveIdleSeconds = 5;
+
+void initializeLibrary() {
+  // A static guards the call, which is not safe from two threads at once.
+  static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  assert(Initialized == CURLE_OK && "libcurl could not start");
+  (void)Initialized;
+}
+
+} // namespace
+
+/// One libcurl handle with its connection.
+class http_channel::handle {
+public:
+  explicit handle(const limits &Limits)
+      : Limits(Limits), Easy(curl_easy_init()), Multi(curl_multi_init()) {
+    assert(Easy != nullptr && Multi != nullptr && "libcurl is out of memory");
+    Headers = curl_slist_append(nullptr, "Content-Type: application/json");
+    // A large body then leaves at once, without waiting for a "100 Continue".
+    Headers = curl_slist_append(Headers, "Expect:");
+  }
+
+  ~handle() {
+    curl_easy_cleanup(Easy);
+    curl_multi_cleanup(Multi);
+    curl_slist_free_all(Headers);
+  }
+
+  handle(const handle &) = delete;
+  handle &operator=(const handle &) = delete;
+
+  result<answer, platform_error> post(const std::string &Url,
+                                      const std::string &Body) {
+    prepare(Url, Body);
+    curl_easy_setopt(
+        Easy, CURLOPT_TIMEOUT_MS,
+        milliseconds(duration_cast<milliseconds>(Limits.CallTimeout)).count());
+    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &handle::keepWhole);
+    const CURLcode Code = curl_easy_perform(Easy);
+    if (Code != CURLE_OK)
+      return failureOf(Code);
+    return answer{status(), std::move(Received)};
+  }
+
+  result<void, platform_error> stream(const std::string &Url,
+                                      const std::string &Body,
+                                      const line_listener &Lines,
+                                      const std::atomic<bool> &Stopping) {
+    prepare(Url, Body);
+    Listener = &Lines;
+    LastByte = std::chrono::steady_clock::now();
+    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &handle::keepLines);
+    curl_multi_add_handle(Multi, Easy);
+    const auto Code = performStream(Stopping);
+    curl_multi_remove_handle(Multi, Easy);
+    if (EndedHere || Stopping)
+      return success();
+    if (Code == CURLE_OK && status() != HttpOk)
+      return platform_error{platform_cause::Refused,
+                            platform_effect::NotApplied, status(),
+                            std::move(Received)};
+    if (Code == CURLE_OK)
+      return platform_error{platform_cause::Interrupted,
+                            platform_effect::NotApplied, status(),
+                            "the stream ended"};
+    platform_error Failure = failureOf(Code);
+    // A watch changes nothing.
+    Failure.Effect = platform_effect::NotApplied;
+    return Failure;
+  }
+
+private:
+  void prepare(const std::string &Url, const std::string &Body) {
+    curl_easy_reset(Easy);
+    Received.clear();
+    TooLarge = false;
+    EndedHere = false;
+    Listener = nullptr;
+    ErrorText[0] = '\0';
+    curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
+    curl_easy_setopt(Easy, CURLOPT_POST, 1L);
+    // The library sends a request again by itself if a kept connection closes
+    // before a byte of the answer. For a write that has taken effect this would
+    // be a second one, so the body is read once and can't be rewound.
+    Unsent = Body;
+    curl_easy_setopt(Easy, CURLOPT_READFUNCTION, &handle::giveBody);
+    curl_easy_setopt(Easy, CURLOPT_READDATA, this);
+    curl_easy_setopt(Easy, CURLOPT_SEEKFUNCTION, &handle::refuseRewind);
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(Body.size()));
+    curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Headers);
+    curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(Easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, KeepaliveIdleSeconds);
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, KeepaliveIdleSeconds);
+    curl_easy_setopt(
+        Easy, CURLOPT_CONNECTTIMEOUT_MS,
+        duration_cast<milliseconds>(Limits.ConnectTimeout).count());
+    curl_easy_setopt(Easy, CURLOPT_ERRORBUFFER, ErrorText.data());
+    curl_easy_setopt(Easy, CURLOPT_WRITEDATA, this);
+  }
+
+  CURLcode performStream(const std::atomic<bool> &Stopping) {
+    int Running = 1;
+    while (Running > 0 && !Stopping) {
+      if (curl_multi_perform(Multi, &Running) != CURLM_OK)
+        return CURLE_FAILED_INIT;
+      if (Running == 0)
+        break;
+      const auto Silence = std::chrono::steady_clock::now() - LastByte;
+      if (Silence > Limits.LongestSilence)
+        return CURLE_OPERATION_TIMEDOUT;
+      curl_multi_poll(Multi, nullptr, 0,
+                      static_cast<int>(StopCheckInterval.count()), nullptr);
+    }
+    int Left = 0;
+    const CURLMsg *Message = curl_multi_info_read(Multi, &Left);
+    return Message == nullptr ? CURLE_OK : Message->data.result;
+  }
+
+  long status() const {
+    long Status = 0;
+    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
+    return Status;
+  }
+
+  /// Whether a byte of the request may have reached the server.
+  bool wasSent() const {
+    curl_off_t Sent = 0;
+    long HeaderBytes = 0;
+    curl_easy_getinfo(Easy, CURLINFO_SIZE_UPLOAD_T, &Sent);
+    curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &HeaderBytes);
+    return Sent > 0 || HeaderBytes > 0;
+  }
+
+  platform_error failureOf(CURLcode Code) const {
+    platform_error Failure{platform_cause::Interrupted,
+                           wasSent() ? platform_effect::Unknown
+                                     : platform_effect::NotApplied,
+                           status(), ErrorText.data()};
+    if (Failure.Detail.empty())
+      Failure.Detail = curl_easy_strerror(Code);
+    switch (Code) {
+    case CURLE_OPERATION_TIMEDOUT:
+      Failure.Cause = platform_cause::TimedOut;
+      break;
+    case CURLE_WRITE_ERROR:
+      if (TooLarge)
+        Failure.Cause = platform_cause::AnswerTooLarge;
+      break;
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_CONTENT_ENCODING:
+      Failure.Cause = platform_cause::MalformedAnswer;
+      break;
+    default:
+      break;
+    }
+    if (Failure.Effect == platform_effect::NotApplied)
+      Failure.Cause = platform_cause::Unreachable;
+    return Failure;
+  }
+
+  static std::size_t giveBody(char *Buffer, std::size_t Size, std::size_t Count,
+                              void *User) {
+    auto &Self = *static_cast<handle *>(User);
+    const std::size_t Length = std::min(Size * Count, Self.Unsent.size());
+    std::memcpy(Buffer, Self.Unsent.data(), Length);
+    Self.Unsent.remove_prefix(Length);
+    return Length;
+  }
+
+  static int refuseRewind(void * /*User*/, curl_off_t /*Offset*/,
+                          int /*Origin*/) {
+    return CURL_SEEKFUNC_FAIL;
+  }
+
+  static std::size_t keepWhole(char *Bytes, std::size_t Size, std::size_t Count,
+                               void *User) {
+    auto &Self = *static_cast<handle *>(User);
+    const std::size_t Length = Size * Count;
+    if (Self.Received.size() + Length > Self.Limits.LargestAnswer) {
+      Self.TooLarge = true;
+      return 0;
+    }
+    Self.Received.append(Bytes, Length);
+    return Length;
+  }
+
+  static std::size_t keepLines(char *Bytes, std::size_t Size, std::size_t Count,
+                               void *User) {
+    auto &Self = *static_cast<handle *>(User);
+    const std::size_t Length = Size * Count;
+    Self.LastByte = std::chrono::steady_clock::now();
+    Self.Received.append(Bytes, Length);
+    if (Self.status() == HttpOk && !Self.handOverLines())
+      return 0;
+    Self.TooLarge = Self.Received.size() > Self.Limits.LargestAnswer;
+    return Self.TooLarge ? 0 : Length;
+  }
+
+  bool handOverLines() {
+    std::size_t Begin = 0;
+    for (std::size_t End = Received.find('\n'); End != std::string::npos;
+         End = Received.find('\n', Begin)) {
+      const std::string_view Line(Received.data() + Begin, End - Begin);
+      Begin = End + 1;
+      if (Line.empty())
+        continue;
+      if (!(*Listener)(Line)) {
+        EndedHere = true;
+        return false;
+      }
+    }
+    Received.erase(0, Begin);
+    return true;
+  }
+
+  const limits &Limits;
+  CURL *const Easy;
+  CURLM *const Multi;
+  curl_slist *Headers = nullptr;
+  std::string_view Unsent;
+  std::string Received;
+  std::array<char, CURL_ERROR_SIZE> ErrorText{};
+  const line_listener *Listener = nullptr;
+  instant LastByte;
+  bool TooLarge = false;
+  bool EndedHere = false;
+};
+
+http_channel::http_channel(std::string BaseUrl, limits Limits)
+    : BaseUrl(std::move(BaseUrl)), Limits(Limits) {
+  initializeLibrary();
+}
+
+http_channel::~http_channel() = default;
+
+result<http_channel::answer, platform_error>
+http_channel::post(const std::string &Path, const std::string &Body) {
+  if (Body.size() > Limits.LargestRequest)
+    return platform_error{platform_cause::RequestTooLarge,
+                          platform_effect::NotApplied, 0, ""};
+  auto Handle = borrow();
+  auto Answer = Handle->post(BaseUrl + Path, Body);
+  giveBack(std::move(Handle));
+  return Answer;
+}
+
+result<void, platform_error>
+http_channel::stream(const std::string &Path, const std::string &Body,
+                     const line_listener &Listener,
+                     const std::atomic<bool> &Stopping) {
+  // The connection of a stream ends with it, so the handle isn't kept.
+  handle Handle(Limits);
+  return Handle.stream(BaseUrl + Path, Body, Listener, Stopping);
+}
+
+std::unique_ptr<http_channel::handle> http_channel::borrow() {
+  const std::lock_guard Lock(Mutex);
+  if (Idle.empty())
+    return std::make_unique<handle>(Limits);
+  auto Handle = std::move(Idle.back());
+  Idle.pop_back();
+  return Handle;
+}
+
+void http_channel::giveBack(std::unique_ptr<handle> Handle) {
+  const std::lock_guard Lock(Mutex);
+  if (Idle.size() < MostIdle)
+    Idle.push_back(std::move(Handle));
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_platform/memory/keyspace.h
@@ -0,0 +1,90 @@
+#ifndef CLEMENTINE_PLATFORM_MEMORY_KEYSPACE_H
+#define CLEMENTINE_PLATFORM_MEMORY_KEYSPACE_H
+
+#include "clementine_core/time/clock.h"
+#include "clementine_platform/store/platform_types.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace clementine {
+
+/// Keys with revisions, transactions and leases, free of I/O and threads.
+///
+/// Follows the data model of etcd v3. Time is handed in, and a lease ends at
+/// the first call whose time lies past its term.
+class keyspace {
+public:
+  /// @param HistoryLimit the most events kept for watches; earlier ones are
+  /// compacted.
+  explicit keyspace(std::size_t HistoryLimit);
+
+  /// @returns the entry of @p Key, if any.
+  std::optional<platform_entry> get(const std::string &Key) const;
+
+  /// @returns the entries whose keys begin with @p Prefix.
+  platform_range list(const std::string &Prefix) const;
+
+  /// Decides and applies a transaction.
+  /// @returns nothing if a put names an unknown lease or a key occurs twice.
+  std::optional<platform_commit>
+  commit(const platform_transaction &Transaction);
+
+  /// Grants a lease that ends at @p Now plus @p TimeToLive.
+  platform_lease grantLease(std::chrono::seconds TimeToLive, instant Now);
+
+  /// Renews a lease.
+  /// @returns nothing for an unknown one.
+  std::optional<platform_lease> keepLease(lease_id Lease, instant Now);
+
+  /// Ends a lease and removes its keys.
+  /// @returns whether it was known.
+  bool revokeLease(lease_id Lease);
+
+  /// Ends the leases whose term is over.
+  void expireLeases(instant Now);
+
+  /// Ends every lease at once.
+  void expireAllLeases();
+
+  /// @returns the events under @p Prefix from @p FromRevision on, or nothing
+  /// if some of them are no longer kept.
+  std::optional<platform_watch_batch>
+  eventsSince(const std::string &Prefix, platform_revision FromRevision) const;
+
+  /// @returns the revision of the last change.
+  platform_revision revision() const { return Revision; }
+
+  /// @returns the oldest revision that a watch can begin from.
+  platform_revision oldestRevision() const { return Compacted + 1; }
+
+private:
+  struct lease_state {
+    std::chrono::seconds TimeToLive{0};
+    instant End;
+    std::set<std::string> Keys;
+  };
+
+  bool isValid(const platform_transaction &Transaction) const;
+  bool holds(const platform_compare &Compare) const;
+  void put(const platform_put &Put);
+  bool remove(const std::string &Key);
+  void detach(const platform_entry &Entry);
+  void record(platform_event Event);
+
+  const std::size_t HistoryLimit;
+  std::map<std::string, platform_entry> Entries;
+  std::map<lease_id, lease_state> Leases;
+  std::deque<platform_event> History;
+  platform_revision Revision = 1;
+  platform_revision Compacted = 0;
+  lease_id NextLease = 1;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_platform/memory/memory_platform_store.h
@@ -0,0 +1,60 @@
+#ifndef CLEMENTINE_PLATFORM_MEMORY_MEMORY_PLATFORM_STORE_H
+#define CLEMENTINE_PLATFORM_MEMORY_MEMORY_PLATFORM_STORE_H
+
+#include "clementine_platform/memory/keyspace.h"
+#include "clementine_platform/store/platform_store.h"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace clementine {
+
+/// A platform_store that keeps everything in the process.
+///
+/// For tests and stand-ins: it lasts no longer than the process.
+class memory_platform_store : public platform_store {
+public:
+  /// @param Time tells when leases end; has to outlive the store.
+  explicit memory_platform_store(const clock &Time);
+
+  memory_platform_store(const memory_platform_store &) = delete;
+  memory_platform_store &operator=(const memory_platform_store &) = delete;
+
+  result<std::optional<platform_entry>, platform_error>
+  get(const std::string &Key) override;
+  result<platform_range, platform_error>
+  list(const std::string &Prefix) override;
+  result<platform_commit, platform_error>
+  commit(const platform_transaction &Transaction) override;
+  result<platform_lease, platform_error>
+  grantLease(std::chrono::seconds TimeToLive) override;
+  result<platform_lease, platform_error> keepLease(lease_id Lease) override;
+  result<void, platform_error> revokeLease(lease_id Lease) override;
+  result<void, platform_error>
+  watch(const std::string &Prefix, platform_revision FromRevision,
+        const watch_listener &Listener,
+        const std::atomic<bool> &Stopping) override;
+
+  /// Ends every lease at once, as if all holders had been paused.
+  void expireAllLeases();
+
+  /// @returns the revision of the last change.
+  platform_revision revision();
+
+  /// Waits until there is a change at or after @p FromRevision.
+  /// @returns the events under @p Prefix, perhaps none; an empty optional if
+  /// earlier ones were compacted.
+  std::optional<platform_watch_batch>
+  awaitEvents(const std::string &Prefix, platform_revision FromRevision,
+              duration Patience);
+
+private:
+  const clock &Time;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  keyspace Keys;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_platform/store/platform_store.h
@@ -0,0 +1,72 @@
+#ifndef CLEMENTINE_PLATFORM_STORE_PLATFORM_STORE_H
+#define CLEMENTINE_PLATFORM_STORE_PLATFORM_STORE_H
+
+#include "clementine_core/errors/result.h"
+#include "clementine_platform/store/platform_error.h"
+#include "clementine_platform/store/platform_types.h"
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace clementine {
+
+/// The platform's key-value service.
+///
+/// Each call blocks until the platform has answered or the time allowed is
+/// over, and may be made from any thread. A failed change says whether it
+/// certainly was not applied.
+///
+/// @see platform_error::Effect
+class platform_store {
+public:
+  /// Hears of changes on the thread that called watch().
+  using watch_listener = std::function<void(const platform_watch_batch &)>;
+
+  virtual ~platform_store() = default;
+
+  /// Reads one key.
+  /// @returns the entry, or an empty optional if the key does not exist.
+  virtual result<std::optional<platform_entry>, platform_error>
+  get(const std::string &Key) = 0;
+
+  /// Reads all keys that begin with @p Prefix, which must not be empty.
+  virtual result<platform_range, platform_error>
+  list(const std::string &Prefix) = 0;
+
+  /// Makes the changes of @p Transaction if all its compares hold.
+  /// @returns what was decided; a failed compare is a decision, no error.
+  virtual result<platform_commit, platform_error>
+  commit(const platform_transaction &Transaction) = 0;
+
+  /// Grants a new lease.
+  /// @param TimeToLive at least one second.
+  virtual result<platform_lease, platform_error>
+  grantLease(std::chrono::seconds TimeToLive) = 0;
+
+  /// Renews a lease.
+  /// @returns the renewed lease, or platform_cause::LeaseNotFound once it has
+  /// lapsed.
+  virtual result<platform_lease, platform_error> keepLease(lease_id Lease) = 0;
+
+  /// Ends a lease at once and removes its keys.
+  virtual result<void, platform_error> revokeLease(lease_id Lease) = 0;
+
+  /// Hands every change under @p Prefix from @p FromRevision on to
+  /// @p Listener, in order, until @p Stopping turns true or the watch breaks.
+  ///
+  /// A caller that watches on after an error begins one above the last revision
+  /// it was handed.
+  ///
+  /// @param FromRevision the first revision of interest; 0 for the next one.
+  /// @returns success after a stop; platform_cause::Compacted if changes were
+  /// missed for good, so that the caller has to list again; or the failure.
+  virtual result<void, platform_error>
+  watch(const std::string &Prefix, platform_revision FromRevision,
+        const watch_listener &Listener, const std::atomic<bool> &Stopping) = 0;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_platform/store/platform_types.h
@@ -0,0 +1,123 @@
+#ifndef CLEMENTINE_PLATFORM_STORE_PLATFORM_TYPES_H
+#define CLEMENTINE_PLATFORM_STORE_PLATFORM_TYPES_H
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace clementine {
+
+/// Counts the changes of the whole store; rises with each transaction that
+/// changes something.
+using platform_revision = std::int64_t;
+
+/// Identifies a lease; 0 means none.
+using lease_id = std::int64_t;
+
+/// A stored key with its value and history.
+struct platform_entry {
+  std::string Key;
+  std::string Value;
+  /// The revision at which the key last came into being.
+  platform_revision CreateRevision = 0;
+  /// The revision of the last change.
+  platform_revision ModRevision = 0;
+  /// The number of changes since the key came into being; 1 at first.
+  std::int64_t Version = 0;
+  /// The lease whose end removes the key, or 0.
+  lease_id Lease = 0;
+
+  bool operator==(const platform_entry &) const = default;
+};
+
+/// The entries found, in the order of their keys, and the store's revision at
+/// the time of the read.
+struct platform_range {
+  platform_revision Revision = 0;
+  std::vector<platform_entry> Entries;
+
+  bool operator==(const platform_range &) const = default;
+};
+
+/// A condition on one key. A key that does not exist has 0 in every field.
+struct platform_compare {
+  enum class field : std::uint8_t { ModRevision, Version, CreateRevision };
+  enum class relation : std::uint8_t { Equal, Greater, Less, NotEqual };
+
+  std::string Key;
+  field Field = field::ModRevision;
+  relation Relation = relation::Equal;
+  std::int64_t Number = 0;
+
+  bool operator==(const platform_compare &) const = default;
+};
+
+/// Sets a key's value.
+struct platform_put {
+  std::string Key;
+  std::string Value;
+  /// The lease whose end removes the key, or 0.
+  lease_id Lease = 0;
+
+  bool operator==(const platform_put &) const = default;
+};
+
+/// Changes that are made together if all compares hold, and not at all
+/// otherwise.
+///
+/// A key may occur only once among puts and deletes.
+struct platform_transaction {
+  std::vector<platform_compare> Compares;
+  std::vector<platform_put> Puts;
+  std::vector<std::string> Deletes;
+  /// Keys that are read in the same step if a compare does not hold, so that
+  /// the loser of a race learns who won without a second call.
+  std::vector<std::string> ReadsOnFailure;
+
+  bool operator==(const platform_transaction &) const = default;
+};
+
+/// What became of a transaction that the platform decided.
+struct platform_commit {
+  /// Whether all compares held and the changes were made.
+  bool Succeeded = false;
+  platform_revision Revision = 0;
+  /// The entries read after a failed compare; missing keys are left out.
+  std::vector<platform_entry> Entries;
+
+  bool operator==(const platform_commit &) const = default;
+};
+
+/// A lease as the platform granted or renewed it.
+struct platform_lease {
+  lease_id Id = 0;
+  /// The platform removes the lease's keys this long after the last renewal.
+  std::chrono::seconds TimeToLive{0};
+
+  bool operator==(const platform_lease &) const = default;
+};
+
+/// One change of one key.
+struct platform_event {
+  enum class kind : std::uint8_t { Put, Delete };
+
+  kind Kind = kind::Put;
+  /// After a delete only Key and ModRevision are set.
+  platform_entry Entry;
+
+  bool operator==(const platform_event &) const = default;
+};
+
+/// Changes of one or more revisions, in order. A batch without events only
+/// says that the watch is alive and has seen everything up to Revision.
+struct platform_watch_batch {
+  platform_revision Revision = 0;
+  std::vector<platform_event> Events;
+
+  bool operator==(const platform_watch_batch &) const = default;
+};
+
+} // namespace clementine
+
+#endif
