Settings: tests of each kind of bad input, page and examples

Cause: a fault that is read as a default would only show under load; the page of settings would drift from the table. Change: 39 bad values and 14 bad forms, each with file, line, section, key, value and what is allowed; docs/SETTINGS.md compared with the table; two sample files, checked by a test.

--- a/modules/clementine_settings/node/settings_table.cpp
+++ b/modules/clementine_settings/node/settings_table.cpp
@@ -64,7 +64,7 @@
      "A signed bundle that the node starts with, until it learns a higher "
      "version."},
 
-    {"security", "peer_keys", &settings::PeerKeys, Optional, "", "", "",
+    {"security", "peer_keys", &settings::PeerKeys, Required, "", "", "",
      "The secrets that nodes share, with commas between them. The node signs "
      "with the first and accepts all.",
      setting_secrecy::Secret},
--- /dev/null
+++ b/tests/settings/test_settings_page.cpp
@@ -0,0 +1,55 @@
+#include <doctest/doctest.h>
+
+#include "clementine_settings/clementine_settings.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
+
+using namespace clementine;
+
+namespace {
+
+const std::filesystem::path SourceFolder = CLEMENTINE_SOURCE_DIR;
+
+std::string contentOf(const std::filesystem::path &File) {
+  std::ifstream Input(File);
+  return {std::istreambuf_iterator<char>(Input), {}};
+}
+
+} // namespace
+
+TEST_CASE("the page of settings has the reference that the table gives") {
+  const std::string Reference = settingsReference();
+  const std::string Page = contentOf(SourceFolder / "docs" / "SETTINGS.md");
+  INFO("the reference part of docs/SETTINGS.md has to be:\n", Reference);
+  CHECK(Page.find(Reference) != std::string::npos);
+  // Nothing may stand after the reference, such as a setting that is gone.
+  CHECK(Page.ends_with(Reference));
+}
+
+TEST_CASE("each setting stands once in the table, with a sound default") {
+  std::set<std::pair<std::string_view, std::string_view>> Keys;
+  for (const setting &Setting : settingsTable()) {
+    CAPTURE(Setting.Key);
+    CHECK(Keys.emplace(Setting.Section, Setting.Key).second);
+    CHECK_FALSE(Setting.Description.empty());
+    CHECK((Setting.Presence == setting_presence::Defaulted) !=
+          Setting.Default.empty());
+  }
+}
+
+TEST_CASE("the settings among the examples are sound") {
+  const auto Folder = SourceFolder / "examples" / "settings";
+  std::size_t Files = 0;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder)) {
+    if (Entry.path().extension() != ".ini")
+      continue;
+    ++Files;
+    std::ostringstream Output;
+    CHECK_MESSAGE(checkSettings(Entry.path(), Output) == 0, Output.str());
+  }
+  CHECK(Files >= 2);
+}
--- a/tests/settings/test_settings_reader.cpp
+++ b/tests/settings/test_settings_reader.cpp
@@ -1,7 +1,11 @@
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include "clementine_settings/clementine_settings.h"
 
+#include <algorithm>
+#include <sstream>
+
 using namespace clementine;
 using namespace std::chrono_literals;
 
@@ -14,15 +18,239 @@
 peer_listen = 127.0.1.1:8001
 gossip_listen = 127.0.1.1:8002
 admin_listen = 127.0.1.1:8003
+[security]
+peer_keys = k1:AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=
 [upstream]
 service = hall-desk
 )";
+/// The line of the first setting after Minimal and a section line.
+constexpr std::uint32_t AddedLine = 13;
+
+constexpr auto KeyText = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=";
+
+std::vector<settings_error> errorsOf(const std::string &Text) {
+  const auto Settings = readSettings(Text, "node.ini");
+  return Settings ? std::vector<settings_error>{} : Settings.error().Errors;
+}
+
+settings_error onlyErrorOf(const std::string &Text) {
+  const auto Errors = errorsOf(Text);
+  REQUIRE(Errors.size() == 1);
+  return Errors.front();
+}
+
+struct bad_value {
+  std::string Section;
+  std::string Key;
+  std::string Value;
+  settings_fault Fault;
+};
 
 } // namespace
 
 TEST_CASE("the smallest settings give every default") {
-  const auto Settings = readSettings(Minimal, "node.ini");
-  REQUIRE(Settings);
-  CHECK(Settings.value().Name == "hall-desk-1");
-  CHECK(Settings.value().ProbeInterval == 1s);
+  const auto Read = readSettings(Minimal, "node.ini");
+  REQUIRE(Read);
+  const node_settings &Settings = Read.value();
+  CHECK(Settings.Name == "hall-desk-1");
+  CHECK(Settings.PeerListen == endpoint{"127.0.1.1", 8001});
+  CHECK_FALSE(Settings.UpstreamAddress);
+  CHECK_FALSE(Settings.PlatformUrl);
+  CHECK(Settings.Seeds.empty());
+  CHECK(Settings.ProbeInterval == 1s);
+  CHECK(Settings.BodyBytes == byte_count{262144});
+  CHECK(Settings.Limiter == limiter_kind::Learned);
+  CHECK(Settings.RetryShare == fraction{0.1});
+}
+
+TEST_CASE("written values take the place of defaults") {
+  const auto Read = readSettings(
+      Minimal +
+          "address = 127.0.1.1:9000\n[platform]\nurl = "
+          "http://127.0.0.1:2379/v3\n[membership]\nseeds = "
+          "127.0.1.2:7000, 127.0.1.3:7000\nsuspicion = 2500ms\n"
+          "[bundle]\ntrusted_keys = yuki:" +
+          KeyText +
+          "\n[admission]\nlimiter = static\n[limits]\nbody_bytes = 1MiB\n"
+          "[telemetry]\nlog_level = warning\nsample_share = 1\n",
+      "node.ini");
+  REQUIRE(Read);
+  const node_settings &Settings = Read.value();
+  CHECK(Settings.UpstreamAddress == endpoint{"127.0.1.1", 9000});
+  CHECK(Settings.PlatformUrl == http_url{"http://127.0.0.1:2379/v3"});
+  CHECK(Settings.Seeds ==
+        std::vector<endpoint>{{"127.0.1.2", 7000}, {"127.0.1.3", 7000}});
+  CHECK(Settings.SuspicionTimeout == 2500ms);
+  REQUIRE(Settings.TrustedKeys.size() == 1);
+  CHECK(Settings.TrustedKeys.front().Name == "yuki");
+  CHECK(Settings.TrustedKeys.front().Bytes.at(31) == 31);
+  CHECK(Settings.Limiter == limiter_kind::Static);
+  CHECK(Settings.BodyBytes == byte_count{1048576});
+  CHECK(Settings.LogLevel == log_threshold::Warning);
+  CHECK(Settings.SampleShare == fraction{1});
+}
+
+TEST_CASE("every kind of bad value names its place and what is allowed") {
+  using enum settings_fault;
+  const std::string Key = KeyText;
+  const std::vector<bad_value> BadValues = {
+      {"platform", "poll", "", MalformedValue},
+      {"platform", "poll", "250", MalformedValue},
+      {"platform", "poll", "ms", MalformedValue},
+      {"platform", "poll", "2.5s", MalformedValue},
+      {"platform", "poll", "-1s", MalformedValue},
+      {"platform", "poll", "2 s", MalformedValue},
+      {"platform", "poll", "99999999999999999999s", MalformedValue},
+      {"platform", "poll", "9999999999999999h", MalformedValue},
+      {"platform", "poll", "99ms", OutOfRange},
+      {"platform", "poll", "11min", OutOfRange},
+      {"platform", "url", "127.0.0.1:2379", MalformedValue},
+      {"platform", "url", "http://", MalformedValue},
+      {"platform", "url", "http:///v3", MalformedValue},
+      {"platform", "url", "http://a b", MalformedValue},
+      {"platform", "url", "http://a/?q=1", MalformedValue},
+      {"membership", "seeds", "127.0.0.1", MalformedValue},
+      {"membership", "seeds", "localhost:7000", MalformedValue},
+      {"membership", "seeds", "127.0.0.1:0", MalformedValue},
+      {"membership", "seeds", "127.0.0.1:65536", MalformedValue},
+      {"membership", "seeds", "127.0.0.1:7000,", MalformedValue},
+      {"membership", "bytes_per_second", "2000", MalformedValue},
+      {"membership", "bytes_per_second", "2KB", MalformedValue},
+      {"membership", "bytes_per_second", "199B", OutOfRange},
+      {"bundle", "trusted_keys", Key, MalformedValue},
+      {"bundle", "trusted_keys", "yuki:AAEC", MalformedValue},
+      {"bundle", "trusted_keys",
+       "yuki:" + Key.substr(0, 42) + "9=", MalformedValue},
+      {"bundle", "trusted_keys", "Yuki:" + Key, MalformedValue},
+      {"bundle", "trusted_keys", "yuki:" + Key + ",yuki:" + Key, Conflict},
+      {"bundle", "file", "", MalformedValue},
+      {"admission", "limiter", "gradient", MalformedValue},
+      {"admission", "queue_length", "0x10", MalformedValue},
+      {"admission", "queue_length", "100001", OutOfRange},
+      {"admission", "initial_limit", "0", OutOfRange},
+      {"retries", "share", "1.5", OutOfRange},
+      {"retries", "share", "-0.5", MalformedValue},
+      {"retries", "share", "nan", MalformedValue},
+      {"retries", "share", "1e-1", MalformedValue},
+      {"telemetry", "log_level", "INFO", MalformedValue},
+      {"membership", "suspicion", "1s", Conflict},
+  };
+  for (const bad_value &Bad : BadValues) {
+    CAPTURE(Bad.Key);
+    CAPTURE(Bad.Value);
+    const auto Error = onlyErrorOf(Minimal + "[" + Bad.Section + "]\n" +
+                                   Bad.Key + " = " + Bad.Value + "\n");
+    CHECK(Error.Fault == Bad.Fault);
+    CHECK(Error.File == "node.ini");
+    CHECK(Error.Line == AddedLine);
+    CHECK(Error.Section == Bad.Section);
+    CHECK(Error.Key == Bad.Key);
+    CHECK_FALSE(Error.Allowed.empty());
+    if (Bad.Fault != Conflict)
+      CHECK(Error.Value == Bad.Value);
+    for (const std::string &Part :
+         {Error.File + ":" + std::to_string(AddedLine), Error.Section,
+          Error.Key, Error.Value, Error.Allowed})
+      CHECK(Error.text().find(Part) != std::string::npos);
+  }
+}
+
+TEST_CASE("a range names its unit") {
+  const auto Error = onlyErrorOf(Minimal + "[platform]\npoll = 1h\n");
+  CHECK(Error.Allowed.find("from 100ms to 10min") != std::string::npos);
+}
+
+TEST_CASE("unknown, doubled, missing and misplaced parts are faults") {
+  using enum settings_fault;
+  CHECK(onlyErrorOf(Minimal + "[nodes]\nname = a\n").Fault == UnknownSection);
+  CHECK(onlyErrorOf(Minimal + "[platform]\nurls = a\n").Fault == UnknownKey);
+  CHECK(onlyErrorOf(Minimal + "[node]\n").Fault == DuplicateSection);
+  CHECK(onlyErrorOf(Minimal + "service = other\n").Fault == DuplicateKey);
+  CHECK(onlyErrorOf("name = a\n" + Minimal).Fault == KeyOutsideSection);
+  CHECK(onlyErrorOf(Minimal + "service hall\n").Fault == MalformedLine);
+  CHECK(onlyErrorOf(Minimal + "[upstream\n").Fault == MalformedLine);
+  CHECK(onlyErrorOf(Minimal + "[]\n").Fault == MalformedLine);
+  CHECK(onlyErrorOf(Minimal + "= 3\n").Fault == MalformedLine);
+  CHECK(onlyErrorOf(Minimal + "connections = \x01\n").Fault ==
+        ForbiddenCharacter);
+  CHECK(onlyErrorOf(Minimal + "connections = \xc3\xa9\n").Fault ==
+        ForbiddenCharacter);
+  CHECK(onlyErrorOf(Minimal + std::string(LongestIniLine + 1, 'a')).Fault ==
+        LineTooLong);
+  const auto Missing = onlyErrorOf(Minimal.substr(0, Minimal.rfind("service")));
+  CHECK(Missing.Fault == MissingKey);
+  CHECK(Missing.Section == "upstream");
+  CHECK(Missing.Key == "service");
+  CHECK(errorsOf(std::string(LargestIniText + 1, ';')).front().Fault ==
+        TextTooLarge);
+}
+
+TEST_CASE("two TCP listeners on one address are a conflict") {
+  std::string Text = Minimal;
+  Text.replace(Text.find("8003"), 4, "8000");
+  const auto Error = onlyErrorOf(Text);
+  CHECK(Error.Fault == settings_fault::Conflict);
+  CHECK(Error.Key == "admin_listen");
+  CHECK(Error.Line == 7);
+}
+
+TEST_CASE("all faults of a file are reported at once, in order") {
+  const auto Errors =
+      errorsOf(Minimal + "[platform]\npoll = 1\nspeed = 2\n[unknown]\nx = 1\n");
+  REQUIRE(Errors.size() == 3);
+  CHECK(std::is_sorted(Errors.begin(), Errors.end(),
+                       [](const settings_error &A, const settings_error &B) {
+                         return A.Line < B.Line;
+                       }));
+}
+
+TEST_CASE("a secret never stands in an error") {
+  const std::string Key = KeyText;
+  const std::string Cut = Key.substr(1);
+  std::string Malformed = Minimal;
+  Malformed.replace(Malformed.find(Key), Key.size(), Cut);
+  std::string Doubled = Minimal;
+  Doubled.insert(Doubled.find("[upstream]"), "peer_keys = k2:" + Key + "\n");
+  for (const std::string &Text : {Malformed, Doubled}) {
+    const auto Error = onlyErrorOf(Text);
+    CHECK(Error.Value == "(hidden)");
+    CHECK(Error.text().find(Cut) == std::string::npos);
+  }
+}
+
+TEST_CASE("lists have a cap and long values are cut in errors") {
+  std::string List = "127.0.0.1:1";
+  for (std::size_t Count = 1; Count <= MostListElements; ++Count)
+    List += ",127.0.0.1:1";
+  const auto Error =
+      onlyErrorOf(Minimal + "[membership]\nseeds = " + List + "\n");
+  CHECK(Error.Fault == settings_fault::MalformedValue);
+  CHECK(Error.Value.size() < 130);
+}
+
+TEST_CASE("a file that is missing or a folder is a fault with exit code 2") {
+  for (const std::string File : {"/nonexistent/node.ini", "/"}) {
+    std::ostringstream Output;
+    CHECK(checkSettings(File, Output) == 2);
+    CHECK(Output.str().find(File) != std::string::npos);
+  }
+}
+
+TEST_CASE("any text is either read or refused with a place and a reason") {
+  CHECK(rc::check("settings", [] {
+    const std::vector<std::string> Parts = {
+        "[node]",      "[platform]",  "name", "=", "a",
+        "\n",          "poll",        "1s",   "[", "]",
+        "http_listen", "127.0.0.1:1", ";",    ",", "\xff"};
+    const auto Picked = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::elementOf(Parts));
+    std::string Text;
+    for (const std::string &Part : Picked)
+      Text += Part;
+    const auto Errors = errorsOf(Text);
+    // [upstream] service is never among the parts.
+    RC_ASSERT(!Errors.empty());
+    for (const settings_error &Error : Errors)
+      RC_ASSERT(!Error.Allowed.empty());
+  }));
 }
