Name the bundle's limits policy_limits

Cause: the routing module's caller_limits, the holder of limits, and the bundle's caller_limits, the values, met in one translation unit. Change: the values are now policy_limits. Measured: everything builds.

--- a/modules/clementine_bundle/model/bundle.h
+++ b/modules/clementine_bundle/model/bundle.h
@@ -40,7 +40,7 @@
   std::string Owner;
   importance Importance = importance::Normal;
   std::uint32_t RetryBudget = 0;
-  caller_limits Limits;
+  policy_limits Limits;
   section_index Section = BuiltIn;
 
   auto operator<=>(const caller_entry &) const = default;
--- a/modules/clementine_bundle/model/bundle_builder.cpp
+++ b/modules/clementine_bundle/model/bundle_builder.cpp
@@ -59,8 +59,8 @@
   return {Section, Values.Importance, Values.Deadline, Values.RetryBudget, {}};
 }
 
-caller_limits limitsOf(const section_values &Values,
-                       const caller_limits &Otherwise) {
+policy_limits limitsOf(const section_values &Values,
+                       const policy_limits &Otherwise) {
   return {Values.Rate.value_or(Otherwise.Rate),
           Values.Concurrency.value_or(Otherwise.Concurrency),
           Values.CostRate.value_or(Otherwise.CostRate)};
@@ -349,7 +349,7 @@
 
 void bundle_builder::fillCallers() {
   const operation_policy Otherwise;
-  const caller_limits DefaultLimits = limitsOf(Defaults, {});
+  const policy_limits DefaultLimits = limitsOf(Defaults, {});
   for (section_index Index = 0; Index < Sections.size(); ++Index) {
     const checked_section &Section = Sections[Index];
     if (Section.Rule->Kind != section_kind::Caller)
--- a/modules/clementine_bundle/model/bundle_content.h
+++ b/modules/clementine_bundle/model/bundle_content.h
@@ -16,7 +16,7 @@
   std::optional<std::chrono::milliseconds> Deadline;
   std::optional<std::uint32_t> RetryBudget;
   /// Set in rules that limit.
-  std::optional<caller_limits> Limits;
+  std::optional<policy_limits> Limits;
 
   /// Writes what this layer states over @p Policy.
   void applyTo(operation_policy &Policy) const;
--- a/modules/clementine_bundle/model/operation_policy.h
+++ b/modules/clementine_bundle/model/operation_policy.h
@@ -11,7 +11,7 @@
 namespace clementine {
 
 /// What a caller may ask of the services.
-struct caller_limits {
+struct policy_limits {
   /// Calls per second.
   double Rate = UnlimitedRate;
   /// Calls at once.
@@ -19,7 +19,7 @@
   /// Cost units per second.
   double CostRate = UnlimitedRate;
 
-  auto operator<=>(const caller_limits &) const = default;
+  auto operator<=>(const policy_limits &) const = default;
 };
 
 /// Points to a section of the bundle; see bundle::sectionName().
@@ -53,10 +53,10 @@
   /// Extra attempts of the whole request, over its whole chain.
   std::uint32_t RetryBudget = 2;
   /// The caller's limits over all its calls.
-  caller_limits Limits;
+  policy_limits Limits;
   /// Further limits for these calls alone; unlimited without such a rule. They
   /// are counted over all calls with the same Sources.OperationLimits.
-  caller_limits OperationLimits;
+  policy_limits OperationLimits;
   /// The caller's place in bundle::callers(), for flat tables of counters. It
   /// holds for this bundle only.
   std::uint32_t Caller = 0;
--- a/tests/bundle/test_format.cpp
+++ b/tests/bundle/test_format.cpp
@@ -83,7 +83,7 @@
   CHECK(Night.Importance == importance::High);
   CHECK(Night.Repeatable);
   CHECK(Night.RetryBudget == 1);
-  CHECK(Night.Limits == caller_limits{});
+  CHECK(Night.Limits == policy_limits{});
   CHECK(Bundle.sectionName(Night.Sources.Cost) == "built-in");
   CHECK(Bundle.decide("night-phone", "crematory-desk", "reserve")
             .value()
