HTTP: a server on ulfius, and the upstream's client on libcurl

Cause: callers and upstreams speak HTTP, and a request must not be sent to an upstream twice behind the node's back. Ruled out: the client of ulfius (a new connection for each request); libcurl as it is, which sends a request again when a kept connection was closed.

--- /dev/null
+++ b/modules/clementine_http/clementine_http.h
@@ -0,0 +1,11 @@
+/// HTTP towards callers and upstreams: a server on ulfius and the client of
+/// the upstream on libcurl.
+///
+/// Needs clementine_core, clementine_wire and clementine_request.
+#ifndef CLEMENTINE_HTTP_H
+#define CLEMENTINE_HTTP_H
+
+#include "clementine_http/client/upstream_client.h"
+#include "clementine_http/server/http_server.h"
+
+#endif
