Bundle: accepting in the platform, by one transaction and recognised by its id

Cause: an accepted bundle may never be lost, doubled or taken back, though answers get lost after the write, reads are old and operators race. Ruled out: parts under their digests, since a starting node would need a call for every hundred of them; deciding from plain reads, since they may be old. Change: accepted_record and the layout of the keys, bundle_reader, accept_transaction, bundle_publisher, signed_file; a fake store with faults.

--- /dev/null
+++ b/modules/clementine_bundle/accept/accepted_record.cpp
@@ -0,0 +1,86 @@
+#include "clementine_bundle/accept/accepted_record.h"
+
+#include "clementine_bundle/spread/archive_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <tuple>
+
+namespace clementine {
+
+namespace {
+
+constexpr std::string_view HeadName = "head";
+constexpr std::string_view HistoryName = "history/";
+constexpr std::string_view EpochsName = "epochs/";
+
+/// All numbers have as many digits, so that keys sort as their numbers do.
+std::string digitsOf(std::uint64_t Number) {
+  std::array<char, 24> Buffer{};
+  std::snprintf(Buffer.data(), Buffer.size(), "%020llu",
+                static_cast<unsigned long long>(Number));
+  return Buffer.data();
+}
+
+std::string keyOf(std::string_view Name) {
+  return std::string(bundle_layout::BundlePrefix) + std::string(Name);
+}
+
+} // namespace
+
+std::string encodeRecord(const accepted_record &Record) {
+  return encodeArchive(Record);
+}
+
+result<accepted_record, bundle_decode_error>
+decodeRecord(std::string_view Bytes) {
+  return decodeArchive<accepted_record>(Bytes);
+}
+
+namespace bundle_layout {
+
+std::string headKey() { return keyOf(HeadName); }
+
+std::string historyPrefix() { return keyOf(HistoryName); }
+
+std::string historyKey(std::uint64_t Version) {
+  return historyPrefix() + digitsOf(Version);
+}
+
+std::string epochPrefix(std::uint64_t Epoch) {
+  return keyOf(EpochsName) + digitsOf(Epoch) + "/";
+}
+
+std::string updateKey(std::uint64_t Epoch, std::uint64_t Version,
+                      std::size_t Chunk) {
+  return epochPrefix(Epoch) + digitsOf(Version) + "/" + std::to_string(Chunk);
+}
+
+} // namespace bundle_layout
+
+std::vector<bundle_update> updatesIn(std::span<const platform_entry> Entries) {
+  // An update's pieces share the key up to its last slash, and there are fewer
+  // than ten of them, so that their keys sort in the order of the pieces.
+  std::map<std::string, std::string> Pieces;
+  for (const platform_entry &Entry : Entries)
+    if (Entry.Key.starts_with(keyOf(EpochsName)))
+      Pieces.emplace(Entry.Key, Entry.Value);
+  std::map<std::string, std::string> Whole;
+  for (const auto &[Key, Value] : Pieces)
+    Whole[Key.substr(0, Key.rfind('/'))] += Value;
+
+  std::vector<bundle_update> Updates;
+  for (const auto &[Key, Bytes] : Whole)
+    if (auto Update = decodeUpdate(Bytes))
+      Updates.push_back(std::move(Update).value());
+  std::sort(Updates.begin(), Updates.end(),
+            [](const bundle_update &Left, const bundle_update &Right) {
+              return std::tuple(Left.Head.Version, Right.FromVersion) <
+                     std::tuple(Right.Head.Version, Left.FromVersion);
+            });
+  return Updates;
+}
+
+} // namespace clementine
--- a/modules/clementine_bundle/clementine_bundle.h
+++ b/modules/clementine_bundle/clementine_bundle.h
@@ -7,10 +7,16 @@
 /// Versions of it are signed by an owner and spread from node to node as the
 /// parts that changed.
 ///
-/// Needs clementine_core and clementine_wire.
+/// The platform holds the accepted versions.
+///
+/// Needs clementine_core, clementine_wire and clementine_platform.
 #ifndef CLEMENTINE_BUNDLE_H
 #define CLEMENTINE_BUNDLE_H
 
+#include "clementine_bundle/accept/accept_transaction.h"
+#include "clementine_bundle/accept/accepted_record.h"
+#include "clementine_bundle/accept/bundle_publisher.h"
+#include "clementine_bundle/accept/bundle_reader.h"
 #include "clementine_bundle/format/bundle_error.h"
 #include "clementine_bundle/format/bundle_keys.h"
 #include "clementine_bundle/format/bundle_source.h"
@@ -23,5 +29,7 @@
 #include "clementine_bundle/spread/bundle_head.h"
 #include "clementine_bundle/spread/bundle_replica.h"
 #include "clementine_bundle/spread/bundle_update.h"
+#include "clementine_bundle/spread/signed_bundle.h"
+#include "clementine_bundle/spread/update_chain.h"
 
 #endif
--- a/modules/clementine_bundle/format/bundle_source.cpp
+++ b/modules/clementine_bundle/format/bundle_source.cpp
@@ -1,5 +1,8 @@
 #include "clementine_bundle/format/bundle_source.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace clementine {
 
 namespace {
@@ -88,6 +91,22 @@
   return Name;
 }
 
+std::string source_section::canonicalText() const {
+  std::vector<source_entry> Sorted = Entries;
+  std::sort(Sorted.begin(), Sorted.end(),
+            [](const source_entry &Left, const source_entry &Right) {
+              return Left.Key < Right.Key;
+            });
+  std::string Text = "[" + name() + "]\n";
+  for (const source_entry &Entry : Sorted) {
+    Text += Entry.Key;
+    Text += " = ";
+    Text += Entry.Value;
+    Text += '\n';
+  }
+  return Text + "\n";
+}
+
 bundle_source bundle_source::split(std::string_view Text) {
   splitter Splitter;
   while (!Text.empty()) {
--- a/modules/clementine_bundle/format/bundle_source.h
+++ b/modules/clementine_bundle/format/bundle_source.h
@@ -26,6 +26,10 @@
 
   /// @returns the header without brackets, its words joined by one space.
   std::string name() const;
+
+  /// @returns header and entries, the keys in alphabetical order, a blank line
+  /// last.
+  std::string canonicalText() const;
 };
 
 /// INI text split into sections, with the line of each part.
--- a/modules/clementine_bundle/model/bundle_builder.cpp
+++ b/modules/clementine_bundle/model/bundle_builder.cpp
@@ -39,22 +39,6 @@
          (Place == PlaceOfCaller || Place == PlaceOfOperation);
 }
 
-std::string canonicalText(const source_section &Section) {
-  std::vector<source_entry> Entries = Section.Entries;
-  std::sort(Entries.begin(), Entries.end(),
-            [](const source_entry &Left, const source_entry &Right) {
-              return Left.Key < Right.Key;
-            });
-  std::string Text = "[" + Section.name() + "]\n";
-  for (const source_entry &Entry : Entries) {
-    Text += Entry.Key;
-    Text += " = ";
-    Text += Entry.Value;
-    Text += '\n';
-  }
-  return Text + "\n";
-}
-
 policy_layer layerOf(const section_values &Values, section_index Section) {
   return {Section, Values.Importance, Values.Deadline, Values.RetryBudget, {}};
 }
@@ -301,7 +285,7 @@
                      std::tie(Right.Part.Kind, Right.Part.Name);
             });
   for (checked_section &Section : Sections) {
-    Section.Part.Text = canonicalText(*Section.Source);
+    Section.Part.Text = Section.Source->canonicalText();
     Section.Part.Digest = sha256(Section.Part.Text);
     CanonicalBytes += Section.Part.Text.size();
   }
--- a/modules/clementine_bundle/spread/bundle_replica.cpp
+++ b/modules/clementine_bundle/spread/bundle_replica.cpp
@@ -34,7 +34,7 @@
 bundle_replica::bundle_replica(trusted_owners Owners)
     : Owners(std::move(Owners)) {}
 
-result<std::shared_ptr<const held_bundle>, update_refusal>
+result<std::shared_ptr<const signed_bundle>, update_refusal>
 bundle_replica::consider(const bundle_update &Update) {
   const std::uint64_t HeldVersion = summary().Version;
   const auto Refuse = [&](update_fault Fault) {
@@ -50,9 +50,11 @@
     return Refuse(update_fault::BadContent);
   if (Applied.value().digest() != Update.Head.Digest)
     return Refuse(update_fault::DigestMismatch);
-  Held = std::make_shared<const held_bundle>(
-      held_bundle{Update.Head, Applied.value()});
-  remember(Update);
+  const auto Before =
+      std::exchange(Held, std::make_shared<const signed_bundle>(
+                              signed_bundle{Update.Head, Applied.value()}));
+  if (Before)
+    remember(*Before);
   return Held;
 }
 
@@ -99,15 +101,11 @@
   Owners = std::move(NewOwners);
 }
 
-void bundle_replica::remember(const bundle_update &Update) {
-  if (Update.FromVersion == NoVersion) {
-    // A whole bundle doesn't tell what changed since the version before.
-    Changes.clear();
-    RememberedNames = 0;
-    return;
-  }
-  Changes.push_back(
-      {Update.FromVersion, Update.Head.Version, namesIn(Update.Delta)});
+void bundle_replica::remember(const signed_bundle &Before) {
+  // Taken from the contents, so that a whole bundle is remembered by its
+  // changes too.
+  Changes.push_back({Before.Head.Version, Held->Head.Version,
+                     namesIn(deltaBetween(Before.Content, Held->Content))});
   RememberedNames += Changes.back().Names.size();
   while (!Changes.empty() && (Changes.size() > MostRememberedChanges ||
                               RememberedNames > MostRememberedNames)) {
--- a/modules/clementine_bundle/spread/bundle_replica.h
+++ b/modules/clementine_bundle/spread/bundle_replica.h
@@ -2,6 +2,7 @@
 #define CLEMENTINE_BUNDLE_SPREAD_BUNDLE_REPLICA_H
 
 #include "clementine_bundle/spread/bundle_update.h"
+#include "clementine_bundle/spread/signed_bundle.h"
 
 #include <compare>
 #include <cstdint>
@@ -49,14 +50,6 @@
   PeerNotBehind,
 };
 
-/// A signed head and the content that it signs.
-struct held_bundle {
-  bundle_head Head;
-  bundle Content;
-
-  bool operator==(const held_bundle &) const = default;
-};
-
 /// What one node holds of the bundle, and what it tells its peers. Free of
 /// I/O; for one thread.
 ///
@@ -74,11 +67,11 @@
 
   /// Looks at an update of any origin.
   /// @returns what is held now, or why nothing changed.
-  result<std::shared_ptr<const held_bundle>, update_refusal>
+  result<std::shared_ptr<const signed_bundle>, update_refusal>
   consider(const bundle_update &Update);
 
   /// @returns what is held, to be shared with other threads; null for nothing.
-  std::shared_ptr<const held_bundle> held() const { return Held; }
+  std::shared_ptr<const signed_bundle> held() const { return Held; }
 
   /// @returns what to tell peers.
   bundle_summary summary() const;
@@ -100,11 +93,11 @@
   };
 
   std::optional<update_fault> faultOfHead(const bundle_update &Update) const;
-  void remember(const bundle_update &Update);
+  void remember(const signed_bundle &Before);
   std::optional<bundle_delta> changesSince(std::uint64_t HaveVersion) const;
 
   trusted_owners Owners;
-  std::shared_ptr<const held_bundle> Held;
+  std::shared_ptr<const signed_bundle> Held;
   /// Without gaps: each change begins at the version where the last ended.
   std::deque<change> Changes;
   std::size_t RememberedNames = 0;
--- /dev/null
+++ b/tests/bundle/faulty_store.h
@@ -0,0 +1,119 @@
+#ifndef CLEMENTINE_TESTS_BUNDLE_FAULTY_STORE_H
+#define CLEMENTINE_TESTS_BUNDLE_FAULTY_STORE_H
+
+#include "clementine_platform/clementine_platform.h"
+
+#include <deque>
+#include <functional>
+
+namespace clementine::samples {
+
+/// What happens to one call.
+enum class store_fault : std::uint8_t {
+  None,
+  /// No connection: certainly without effect.
+  Unreachable,
+  /// The call is lost on the way there; the caller can't know.
+  LostBeforeEffect,
+  /// The answer is lost after a write has taken effect.
+  LostAfterEffect,
+  /// A read shows the state of some writes ago. Transactions never do.
+  StaleRead,
+};
+
+constexpr unsigned StoreFaults = 5;
+
+/// A platform_store with one planned fault for each of the next calls.
+class faulty_store final : public platform_store {
+public:
+  /// The faults of the next calls in turn; none after the last.
+  std::deque<store_fault> Faults;
+  /// Called once, before the next transaction is decided.
+  std::function<void()> BeforeCommit;
+  /// How many writes a stale read is behind.
+  std::size_t StaleWrites = 1;
+
+  result<std::optional<platform_entry>, platform_error>
+  get(const std::string &Key) override {
+    const store_fault Fault = next();
+    if (isLoss(Fault))
+      return lost(Fault);
+    return source(Fault).get(Key);
+  }
+
+  result<platform_range, platform_error>
+  list(const std::string &Prefix) override {
+    const store_fault Fault = next();
+    if (isLoss(Fault))
+      return lost(Fault);
+    return source(Fault).list(Prefix);
+  }
+
+  result<platform_commit, platform_error>
+  commit(const platform_transaction &Transaction) override {
+    const store_fault Fault = next();
+    if (BeforeCommit)
+      std::exchange(BeforeCommit, nullptr)();
+    if (Fault == store_fault::Unreachable ||
+        Fault == store_fault::LostBeforeEffect)
+      return lost(Fault);
+    auto Answer = Newest.commit(Transaction);
+    if (Answer.value().Succeeded && !Transaction.Puts.empty())
+      Pending.push_back(Transaction);
+    for (; Pending.size() > StaleWrites; Pending.pop_front())
+      static_cast<void>(Lagging.commit(Pending.front()));
+    if (Fault == store_fault::LostAfterEffect)
+      return lost(Fault);
+    return Answer;
+  }
+
+  result<platform_lease, platform_error>
+  grantLease(std::chrono::seconds TimeToLive) override {
+    return Newest.grantLease(TimeToLive);
+  }
+  result<platform_lease, platform_error> keepLease(lease_id Lease) override {
+    return Newest.keepLease(Lease);
+  }
+  result<void, platform_error> revokeLease(lease_id Lease) override {
+    return Newest.revokeLease(Lease);
+  }
+  result<void, platform_error>
+  watch(const std::string &Prefix, platform_revision FromRevision,
+        const watch_listener &Listener,
+        const std::atomic<bool> &Stopping) override {
+    return Newest.watch(Prefix, FromRevision, Listener, Stopping);
+  }
+
+private:
+  store_fault next() {
+    if (Faults.empty())
+      return store_fault::None;
+    const store_fault Fault = Faults.front();
+    Faults.pop_front();
+    return Fault;
+  }
+
+  static bool isLoss(store_fault Fault) {
+    return Fault != store_fault::None && Fault != store_fault::StaleRead;
+  }
+
+  static platform_error lost(store_fault Fault) {
+    if (Fault == store_fault::Unreachable)
+      return {platform_cause::Unreachable, platform_effect::NotApplied};
+    return {platform_cause::TimedOut, platform_effect::Unknown};
+  }
+
+  memory_platform_store &source(store_fault Fault) {
+    return Fault == store_fault::StaleRead ? Lagging : Newest;
+  }
+
+  monotonic_clock Time;
+  memory_platform_store Newest{Time};
+  /// Behind by the writes in Pending.
+  memory_platform_store Lagging{Time};
+  std::deque<platform_transaction> Pending;
+};
+
+} // namespace clementine::samples
+
+#endif
