--- /dev/null
+++ b/modules/clementine_node/callers/caller_frontend.h
@@ -0,0 +1,83 @@
+#ifndef CLEMENTINE_NODE_CALLERS_CALLER_FRONTEND_H
+#define CLEMENTINE_NODE_CALLERS_CALLER_FRONTEND_H
+
+#include "clementine_http/server/http_server.h"
+#include "clementine_request/entry/entry_ports.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace clementine {
+
+/// What the upstream says of itself to the node beside it.
+struct upstream_announcement {
+  std::string Service;
+  endpoint Address;
+  /// Whether it has just started and should get little work at first.
+  bool IsCold = false;
+
+  auto operator<=>(const upstream_announcement &) const = default;
+};
+
+/// What a caller_frontend hands on. Called on many threads.
+class frontend_listener {
+public:
+  virtual ~frontend_listener() = default;
+
+  /// Takes a request. @returns false when the node is too busy to take it.
+  virtual bool callerRequested(caller_request Request) = 0;
+  virtual void upstreamAnnounced(const upstream_announcement &Upstream) = 0;
+  virtual void upstreamDrains() = 0;
+};
+
+/// Turns HTTP requests of callers and of the upstream into events, and the
+/// answers back into HTTP.
+///
+/// Each waiting caller is held by a session that the thread of its connection
+/// and the table of open calls share, so that a late answer finds its own
+/// session or none.
+class caller_frontend final : public http_handler, public caller_port {
+public:
+  /// @param Listener has to outlive the frontend.
+  explicit caller_frontend(frontend_listener &Listener);
+
+  caller_frontend(const caller_frontend &) = delete;
+  caller_frontend &operator=(const caller_frontend &) = delete;
+
+  http_response handle(const http_request &Request) override;
+  void answerCaller(caller_answer Answer) override;
+
+  /// Refuses new requests of callers; sub-calls of runs in flight go on.
+  void refuseCallers() { IsRefusing = true; }
+
+  /// @returns how many callers wait.
+  std::size_t waiting() const;
+
+private:
+  /// One caller that waits for its answer.
+  struct caller_session {
+    std::mutex Mutex;
+    std::condition_variable Arrived;
+    std::optional<caller_answer> Answer;
+  };
+
+  http_response call(const http_request &Request);
+  http_response announce(const http_request &Request);
+  http_response drain(const http_request &Request);
+  caller_answer waitFor(caller_request Request);
+
+  frontend_listener &Listener;
+  std::atomic<bool> IsRefusing{false};
+  mutable std::mutex Mutex;
+  std::unordered_map<call_id, std::shared_ptr<caller_session>> Sessions;
+  call_id NextCall = 1;
+};
+
+} // namespace clementine
+
+#endif
