Gate: stateful properties against a list of tickets

Cause: order, limit, displacement and the end of every ticket were only shown by single cases. Ruled out: a model that predicts each answer; it would repeat the gate. The oracle only lists tickets and judges each end. Change: checked_gate and a RapidCheck state machine with a static and a learned limit; a long run that expects each mechanism's fault when it is off. Conclusion: the properties hold and the checks can fail.

--- /dev/null
+++ b/tests/admission/test_gate_properties.cpp
@@ -0,0 +1,180 @@
+#include "checked_gate.h"
+
+#include "clementine_core/random/random_source.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck/state.h>
+
+using namespace clementine;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t Limit = 3;
+
+admission_gate_settings smallQueue() {
+  admission_gate_settings Settings;
+  Settings.ShortestQueue = 4;
+  return Settings;
+}
+
+checked_gate staticGate(admission_gate_settings Settings = smallQueue()) {
+  return {Settings, std::make_unique<static_limiter>(Limit), Limit};
+}
+
+/// The commands need nothing from a model: the list of tickets inside
+/// checked_gate is the oracle.
+struct no_model {};
+using gate_command = rc::state::Command<no_model, checked_gate>;
+
+template <class Step> class checked_command : public gate_command {
+public:
+  explicit checked_command(Step Made = *rc::gen::arbitrary<Step>())
+      : Made(Made) {}
+  void run(const no_model &, checked_gate &Gate) const override {
+    Made.apply(Gate);
+    RC_ASSERT(Gate.Faults.empty());
+  }
+  void show(std::ostream &Out) const override { Out << Made.Name; }
+
+private:
+  Step Made;
+};
+
+work_outcome outcomeOf(std::uint64_t Pick) {
+  constexpr work_outcome Outcomes[] = {
+      work_outcome::Completed, work_outcome::Completed, work_outcome::Shed,
+      work_outcome::TimedOut, work_outcome::Failed};
+  return Outcomes[Pick % std::size(Outcomes)];
+}
+
+struct offer_step {
+  const char *Name = "offer";
+  std::uint64_t Bits = 1;
+  void apply(checked_gate &Gate) const {
+    Gate.offer(static_cast<importance>(Bits % ImportanceLevels),
+               static_cast<std::uint8_t>(Bits >> 8U), (Bits >> 16U) % 3,
+               ((Bits >> 24U) % 200) * 1ms);
+  }
+};
+
+struct complete_step {
+  const char *Name = "complete";
+  std::uint64_t Bits = 1;
+  void apply(checked_gate &Gate) const {
+    Gate.complete(Bits >> 8U, outcomeOf(Bits));
+  }
+};
+
+struct cancel_step {
+  const char *Name = "cancel";
+  std::uint64_t Bits = 1;
+  void apply(checked_gate &Gate) const { Gate.cancel(Bits); }
+};
+
+struct advance_step {
+  const char *Name = "advance";
+  std::uint64_t Bits = 1;
+  void apply(checked_gate &Gate) const { Gate.advance((Bits % 20) * 1ms); }
+};
+
+struct drain_step {
+  const char *Name = "drain";
+  std::uint64_t Bits = 1;
+  void apply(checked_gate &Gate) const {
+    // Nothing gets in afterwards, so it has to be rare.
+    if (Bits % 64 == 0)
+      Gate.drain();
+  }
+};
+
+/// @returns the faults that a long random run finds, to show that the checks
+/// can fail.
+std::set<gate_fault> faultsOf(checked_gate &&Gate) {
+  seeded_random Random(20261204);
+  for (int Step = 0; Step < 5000; ++Step) {
+    const std::uint64_t Bits = Random.next();
+    switch (Random.below(6)) {
+    case 0:
+      complete_step{.Bits = Bits}.apply(Gate);
+      break;
+    case 1:
+      advance_step{.Bits = Bits}.apply(Gate);
+      break;
+    case 2:
+      cancel_step{.Bits = Bits}.apply(Gate);
+      break;
+    default:
+      offer_step{.Bits = Bits}.apply(Gate);
+    }
+  }
+  return Gate.Faults;
+}
+
+template <class MakeGate> bool holdsFor(MakeGate Make) {
+  return rc::check([&] {
+    checked_gate Gate = Make();
+    rc::state::check(
+        no_model{}, Gate,
+        rc::state::gen::execOneOfWithArgs<
+            checked_command<offer_step>, checked_command<offer_step>,
+            checked_command<offer_step>, checked_command<complete_step>,
+            checked_command<complete_step>, checked_command<cancel_step>,
+            checked_command<advance_step>, checked_command<drain_step>>());
+  });
+}
+
+} // namespace
+
+namespace rc {
+
+template <class Step>
+requires requires(Step Made) { Made.Bits; }
+struct Arbitrary<Step> {
+  static Gen<Step> arbitrary() {
+    return gen::map(
+        gen::resize(kNominalSize, gen::arbitrary<std::uint64_t>()),
+        [](std::uint64_t Bits) { return Step{.Bits = mixBits(Bits + 1)}; });
+  }
+};
+
+} // namespace rc
+
+TEST_CASE("a gate keeps order, limit and every ticket") {
+  CHECK(holdsFor([] { return staticGate(); }));
+}
+
+TEST_CASE("a gate with a moving limit keeps order and every ticket") {
+  CHECK(holdsFor([] {
+    learned_limiter_settings Settings;
+    Settings.InitialLimit = 4;
+    Settings.HighestLimit = 6;
+    Settings.FewestSamples = 2;
+    return checked_gate(smallQueue(),
+                        std::make_unique<learned_limiter>(Settings), 6);
+  }));
+}
+
+TEST_CASE("a long run finds no fault, and each mechanism off shows its own") {
+  CHECK(faultsOf(staticGate()).empty());
+
+  admission_gate_settings Unordered = smallQueue();
+  Unordered.OrdersByRank = false;
+  CHECK(faultsOf(staticGate(Unordered)).contains(gate_fault::OutOfOrder));
+
+  admission_gate_settings Unheld = smallQueue();
+  Unheld.HoldsLevel = false;
+  CHECK(faultsOf(staticGate(Unheld)) ==
+        std::set{gate_fault::LesserAfterGreater});
+
+  admission_gate_settings Timeless = smallQueue();
+  Timeless.HeedsDeadlines = false;
+  CHECK(faultsOf(staticGate(Timeless)) == std::set{gate_fault::LateRefusal});
+
+  CHECK(faultsOf({smallQueue(), std::make_unique<unlimited>(), Limit})
+            .contains(gate_fault::AboveLimit));
+
+  checked_gate Forgetful = staticGate();
+  Forgetful.LosesDisplaced = true;
+  CHECK(faultsOf(std::move(Forgetful)).contains(gate_fault::Lost));
+}
