Membership: SWIM with Lifeguard, I/O-free, first working implementation

Cause: nodes have to know who is alive, warming, leaving or gone without a coordination service, and the node program embeds this early. Ruled out: leases for each node (8,000 writes/s at 24,000 nodes); one flat gossip; relays that flood the records of other data centres through their own one (every node would hold and carry all 24,000). Instead each node asks the other data centres for the services it wants, and is told of changes while its query's lease runs. Change: clementine_membership: member_table (claims that only rise, so merging is order-free), disseminator, anti_entropy by bucket digests, failure_detector, remote_directory and query_server, sealed datagrams of at most 1,200 B, a token bucket over all that is sent. Fuzzing, mutations and slopes are not run yet.

--- /dev/null
+++ b/modules/clementine_membership/spread/anti_entropy.h
@@ -0,0 +1,57 @@
+#ifndef CLEMENTINE_MEMBERSHIP_SPREAD_ANTI_ENTROPY_H
+#define CLEMENTINE_MEMBERSHIP_SPREAD_ANTI_ENTROPY_H
+
+#include "clementine_membership/spread/disseminator.h"
+
+#include <cstddef>
+
+namespace clementine {
+
+/// Compares the own view with that of a random member from time to time and
+/// exchanges only what differs: one digest, then 64 of buckets, then the stamps
+/// in the buckets that differ, then whole claims.
+class anti_entropy {
+public:
+  anti_entropy(const membership_settings &Settings, random_source &Random,
+               member_table &Table, disseminator &Spread);
+
+  anti_entropy(const anti_entropy &) = delete;
+  anti_entropy &operator=(const anti_entropy &) = delete;
+
+  /// Opens a comparison with @p To.
+  /// @param WithSelf whether the own claim is sent along, for a receiver that
+  /// may not know this node.
+  void open(const endpoint &To, bool WithSelf, instant Now);
+
+  /// Handles SyncDigest, SyncBuckets and SyncEntries.
+  void receive(const endpoint &From, const gossip_message &Message,
+               instant Now);
+
+  /// Notes that members were learnt; after many the next comparison is soon,
+  /// so that a node that has just started fills its view quickly.
+  void learnt(std::size_t Members, instant Now);
+
+  /// Opens a comparison when one is due.
+  void tick(instant Now);
+  /// @returns when tick() has work.
+  instant nextWake() const { return NextSync; }
+
+private:
+  void answerDigest(const endpoint &From, const gossip_message &Message,
+                    instant Now);
+  void answerBuckets(const endpoint &From, const gossip_message &Message,
+                     instant Now);
+  void answerEntries(const endpoint &From, const gossip_message &Message,
+                     instant Now);
+
+  const membership_settings &Settings;
+  random_source &Random;
+  member_table &Table;
+  disseminator &Spread;
+  instant NextSync{};
+  std::size_t LearntSinceSync = 0;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_membership/spread/update_queue.cpp
@@ -0,0 +1,56 @@
+#include "clementine_membership/spread/update_queue.h"
+
+#include <vector>
+
+namespace clementine {
+
+void update_queue::add(member_key Key, update_part Part) {
+  const slot Slot{Key, Part == update_part::Accusation};
+  const auto Found = Slots.find(Slot);
+  // A state that follows an unsent claim must not hide the claim.
+  const bool ClaimWaits =
+      Found != Slots.end() && Found->second.Part == update_part::Claim;
+  if (Part == update_part::State && ClaimWaits)
+    Part = update_part::Claim;
+  erase(Slot);
+  const rank Rank{0, NextAge--, Slot};
+  Slots.emplace(Slot, waiting{Rank, Part});
+  Order.insert(Rank);
+}
+
+void update_queue::remove(member_key Key) {
+  erase({Key, false});
+  erase({Key, true});
+}
+
+void update_queue::drain(
+    unsigned MostSends,
+    const std::function<bool(member_key, update_part)> &Offer) {
+  std::vector<slot> Sent;
+  for (const rank &Rank : Order) {
+    if (!Offer(Rank.Slot.Key, Slots.at(Rank.Slot).Part))
+      break;
+    Sent.push_back(Rank.Slot);
+  }
+  for (const slot &Slot : Sent) {
+    const waiting Before = Slots.at(Slot);
+    Order.erase(Before.Rank);
+    if (Before.Rank.Sends + 1 >= MostSends) {
+      Slots.erase(Slot);
+      continue;
+    }
+    const rank After{Before.Rank.Sends + 1, Before.Rank.Age, Slot};
+    Slots[Slot].Rank = After;
+    Order.insert(After);
+  }
+}
+
+void update_queue::erase(const slot &Slot) {
+  const auto Found = Slots.find(Slot);
+  if (Found == Slots.end())
+    return;
+  Order.erase(Found->second.Rank);
+  Slots.erase(Found);
+}
+
+} // namespace clementine
--- /dev/null
+++ b/modules/clementine_membership/spread/update_queue.h
@@ -0,0 +1,81 @@
+#ifndef CLEMENTINE_MEMBERSHIP_SPREAD_UPDATE_QUEUE_H
+#define CLEMENTINE_MEMBERSHIP_SPREAD_UPDATE_QUEUE_H
+
+#include "clementine_membership/members/member_record.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace clementine {
+
+/// Which part of a claim is news.
+enum class update_part : std::uint8_t {
+  /// The whole claim.
+  Claim,
+  /// The owner's stamp and state only.
+  State,
+  /// The accusation only.
+  Accusation,
+};
+
+/// Remembers what is news and how often it was sent.
+///
+/// Only the member's key is held; what is sent is always the newest claim, so a
+/// member is in the queue at most once for its owner's word and once for the
+/// accusation. What was sent least often goes first.
+class update_queue {
+public:
+  /// Adds news, or starts its count of sends again.
+  void add(member_key Key, update_part Part);
+  /// Removes what is waiting of a member.
+  void remove(member_key Key);
+
+  bool empty() const { return Order.empty(); }
+  std::size_t size() const { return Order.size(); }
+
+  /// Offers news for one datagram, least sent first.
+  /// @param MostSends news is dropped once it was sent so often.
+  /// @param Offer puts the news into the datagram and tells whether there was
+  /// room; the first refusal ends the call.
+  void drain(unsigned MostSends,
+             const std::function<bool(member_key, update_part)> &Offer);
+
+private:
+  struct slot {
+    member_key Key = 0;
+    bool IsAccusation = false;
+
+    bool operator<(const slot &Other) const {
+      return std::tie(Key, IsAccusation) <
+             std::tie(Other.Key, Other.IsAccusation);
+    }
+  };
+  struct rank {
+    unsigned Sends = 0;
+    /// Among the equally often sent, the newest goes first.
+    std::uint64_t Age = 0;
+    slot Slot;
+
+    bool operator<(const rank &Other) const {
+      return std::tie(Sends, Age) < std::tie(Other.Sends, Other.Age);
+    }
+  };
+  struct waiting {
+    rank Rank;
+    update_part Part = update_part::Claim;
+  };
+
+  void erase(const slot &Slot);
+
+  std::map<slot, waiting> Slots;
+  std::set<rank> Order;
+  std::uint64_t NextAge = ~std::uint64_t{0};
+};
+
+} // namespace clementine
+
+#endif
