--- /dev/null
+++ b/extras/stand_in_http/http_client.cpp
@@ -0,0 +1,155 @@
+#include "stand_in_http/http_client.h"
+
+#include <curl/curl.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <cstring>
+#include <string_view>
+
+namespace clementine {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// The largest answer accepted, in bytes.
+constexpr std::size_t LargestAnswer = std::size_t{64} << 20U;
+
+constexpr std::string_view OutcomeField = "clementine-outcome:";
+
+} // namespace
+
+/// One libcurl handle with its connection.
+class http_client::handle {
+public:
+  handle() : Easy(curl_easy_init()) {}
+  ~handle() { curl_easy_cleanup(Easy); }
+
+  handle(const handle &) = delete;
+  handle &operator=(const handle &) = delete;
+
+  std::optional<answer> call(const std::string &Url,
+                             const std::vector<std::string> &Headers,
+                             const std::string *Body, duration Timeout) {
+    curl_easy_reset(Easy);
+    Received = {};
+    curl_slist *List = nullptr;
+    for (const std::string &Header : Headers)
+      List = curl_slist_append(List, Header.c_str());
+    List = curl_slist_append(List, "Expect:");
+    curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
+    curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, List);
+    curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+    const auto Allowed = duration_cast<milliseconds>(Timeout).count();
+    curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(std::max<long>(1, Allowed)));
+    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &handle::keepBody);
+    curl_easy_setopt(Easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &handle::keepHeader);
+    curl_easy_setopt(Easy, CURLOPT_HEADERDATA, this);
+    if (Body != nullptr) {
+      Unsent = *Body;
+      curl_easy_setopt(Easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(Body->size()));
+      curl_easy_setopt(Easy, CURLOPT_READFUNCTION, &handle::giveBody);
+      curl_easy_setopt(Easy, CURLOPT_READDATA, this);
+      curl_easy_setopt(Easy, CURLOPT_SEEKFUNCTION, &handle::refuseRewind);
+    }
+    const CURLcode Code = curl_easy_perform(Easy);
+    curl_slist_free_all(List);
+    if (Code != CURLE_OK)
+      return std::nullopt;
+    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Received.Status);
+    return std::move(Received);
+  }
+
+private:
+  static std::size_t giveBody(char *Buffer, std::size_t Size, std::size_t Count,
+                              void *User) {
+    auto &Self = *static_cast<handle *>(User);
+    const std::size_t Length = std::min(Size * Count, Self.Unsent.size());
+    std::memcpy(Buffer, Self.Unsent.data(), Length);
+    Self.Unsent.remove_prefix(Length);
+    return Length;
+  }
+
+  static int refuseRewind(void * /*User*/, curl_off_t /*Offset*/,
+                          int /*Origin*/) {
+    return CURL_SEEKFUNC_FAIL;
+  }
+
+  static std::size_t keepBody(char *Bytes, std::size_t Size, std::size_t Count,
+                              void *User) {
+    auto &Self = *static_cast<handle *>(User);
+    const std::size_t Length = Size * Count;
+    if (Self.Received.Body.size() + Length > LargestAnswer)
+      return 0;
+    Self.Received.Body.append(Bytes, Length);
+    return Length;
+  }
+
+  static std::size_t keepHeader(char *Bytes, std::size_t Size,
+                                std::size_t Count, void *User) {
+    auto &Self = *static_cast<handle *>(User);
+    std::string_view Line(Bytes, Size * Count);
+    if (Line.size() <= OutcomeField.size() ||
+        ::strncasecmp(Line.data(), OutcomeField.data(), OutcomeField.size()) !=
+            0)
+      return Size * Count;
+    Line.remove_prefix(OutcomeField.size());
+    const std::size_t First = Line.find_first_not_of(' ');
+    const std::size_t Last = Line.find_last_not_of(" \r\n");
+    if (First != std::string_view::npos && First <= Last)
+      Self.Received.Outcome = Line.substr(First, Last - First + 1);
+    return Size * Count;
+  }
+
+  CURL *const Easy;
+  std::string_view Unsent;
+  answer Received;
+};
+
+http_client::http_client() {
+  static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)Initialized;
+}
+
+http_client::~http_client() = default;
+
+std::optional<http_client::answer>
+http_client::post(const std::string &Url,
+                  const std::vector<std::string> &Headers,
+                  const std::string &Body, duration Timeout) {
+  auto Handle = borrow();
+  auto Answer = Handle->call(Url, Headers, &Body, Timeout);
+  giveBack(std::move(Handle));
+  return Answer;
+}
+
+std::optional<http_client::answer> http_client::get(const std::string &Url,
+                                                    duration Timeout) {
+  auto Handle = borrow();
+  auto Answer = Handle->call(Url, {}, nullptr, Timeout);
+  giveBack(std::move(Handle));
+  return Answer;
+}
+
+std::unique_ptr<http_client::handle> http_client::borrow() {
+  const std::lock_guard Lock(Mutex);
+  if (Idle.empty())
+    return std::make_unique<handle>();
+  auto Handle = std::move(Idle.back());
+  Idle.pop_back();
+  return Handle;
+}
+
+void http_client::giveBack(std::unique_ptr<handle> Handle) {
+  const std::lock_guard Lock(Mutex);
+  Idle.push_back(std::move(Handle));
+}
+
+} // namespace clementine
--- /dev/null
+++ b/extras/stand_in_http/http_client.h
@@ -0,0 +1,57 @@
+#ifndef STAND_IN_HTTP_HTTP_CLIENT_H
+#define STAND_IN_HTTP_HTTP_CLIENT_H
+
+#include "clementine_core/time/clock.h"
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace clementine {
+
+/// Makes blocking HTTP calls on kept connections, from any thread.
+///
+/// A request is never sent a second time by the library: a body that was
+/// partly read can't be rewound.
+class http_client {
+public:
+  struct answer {
+    long Status = 0;
+    std::string Body;
+    /// The value of the header Clementine-Outcome, if any.
+    std::string Outcome;
+  };
+
+  http_client();
+  ~http_client();
+
+  http_client(const http_client &) = delete;
+  http_client &operator=(const http_client &) = delete;
+
+  /// Posts @p Body to @p Url.
+  /// @param Headers lines of the form `Name: value`.
+  /// @returns the whole answer, or nothing if none came in @p Timeout.
+  std::optional<answer> post(const std::string &Url,
+                             const std::vector<std::string> &Headers,
+                             const std::string &Body, duration Timeout);
+
+  /// Gets @p Url.
+  /// @returns the whole answer, or nothing if none came in @p Timeout.
+  std::optional<answer> get(const std::string &Url, duration Timeout);
+
+private:
+  class handle;
+
+  std::unique_ptr<handle> borrow();
+  void giveBack(std::unique_ptr<handle> Handle);
+
+  std::mutex Mutex;
+  std::vector<std::unique_ptr<handle>> Idle;
+};
+
+} // namespace clementine
+
+#endif
