Settings: the cap of eight shared secrets is checked by the reader

Ruled out: leaving it to the key ring, whose fault names no line of the file. Change: a list's largest number of elements stands in the table, is checked as a range and shown in the error and on the page. Conclusion: the table is again the only place of ranges.

--- a/modules/clementine_settings/node/settings_reader.cpp
+++ b/modules/clementine_settings/node/settings_reader.cpp
@@ -84,6 +84,12 @@
          (!Highest || magnitude(Candidate) <= magnitude(*Highest));
 }
 
+template <class Value>
+bool isInRange(const std::vector<Value> &List, const setting &Setting) {
+  const auto Highest = value_format<std::uint64_t>::parse(Setting.Highest);
+  return !Highest || List.size() <= *Highest;
+}
+
 template <class Value>
 bool isInRange(const Value & /*Candidate*/, const setting & /*Setting*/) {
   return true;
--- a/modules/clementine_settings/node/settings_table.cpp
+++ b/modules/clementine_settings/node/settings_table.cpp
@@ -64,7 +64,7 @@
      "A signed bundle that the node starts with, until it learns a higher "
      "version."},
 
-    {"security", "peer_keys", &settings::PeerKeys, Required, "", "", "",
+    {"security", "peer_keys", &settings::PeerKeys, Required, "", "", "8",
      "The secrets that nodes share, with commas between them. The node signs "
      "with the first and accepts all.",
      setting_secrecy::Secret},
@@ -107,14 +107,18 @@
 });
 
 template <class Value> constexpr bool IsList = false;
-template <class Value> constexpr bool IsList<std::vector<Value>> = true;
-
-template <class Value> std::string formText(Value node_settings::* /*Member*/) {
+/// @returns how a value of the setting is written, with its range.
+template <class Value>
+std::string formText(const setting &Setting, Value node_settings::*) {
   std::string Form(value_format<Value>::Form);
+  const std::string Highest(Setting.Highest);
   if constexpr (IsList<Value>)
-    return "a list of up to " + std::to_string(MostListElements) +
+    return "a list of up to " +
+           (Highest.empty() ? std::to_string(MostListElements) : Highest) +
            " elements with commas between them, each " + Form;
-  return Form;
+  if (Highest.empty())
+    return Form;
+  return Form + ", from " + std::string(Setting.Lowest) + " to " + Highest;
 }
 
 } // namespace
@@ -122,12 +126,8 @@
 std::span<const setting> settingsTable() { return Table; }
 
 std::string allowedText(const setting &Setting) {
-  std::string Text =
-      std::visit([](auto Member) { return formText(Member); }, Setting.Member);
-  if (!Setting.Lowest.empty())
-    Text += ", from " + std::string(Setting.Lowest) + " to " +
-            std::string(Setting.Highest);
-  return Text;
+  return std::visit([&](auto Member) { return formText(Setting, Member); },
+                    Setting.Member);
 }
 
 } // namespace clementine
--- a/modules/clementine_settings/node/settings_table.h
+++ b/modules/clementine_settings/node/settings_table.h
@@ -45,7 +45,8 @@
   std::string_view Default = {};
   /// The smallest value, written as in the file; empty for no bound.
   std::string_view Lowest = {};
-  /// The largest value, written as in the file; empty for no bound.
+  /// The largest value, written as in the file; empty for no bound. For a list
+  /// the largest number of elements; empty for MostListElements.
   std::string_view Highest = {};
   std::string_view Description = {};
   setting_secrecy Secrecy = setting_secrecy::Public;
--- a/tests/settings/test_settings_reader.cpp
+++ b/tests/settings/test_settings_reader.cpp
@@ -211,7 +211,12 @@
   Malformed.replace(Malformed.find(Key), Key.size(), Cut);
   std::string Doubled = Minimal;
   Doubled.insert(Doubled.find("[upstream]"), "peer_keys = k2:" + Key + "\n");
-  for (const std::string &Text : {Malformed, Doubled}) {
+  std::string TooMany = Minimal;
+  for (int Number = 2; Number <= 9; ++Number)
+    TooMany.insert(TooMany.find("k1:"),
+                   "k" + std::to_string(Number) + ":" + Key + ", ");
+  CHECK(onlyErrorOf(TooMany).Fault == settings_fault::OutOfRange);
+  for (const std::string &Text : {Malformed, Doubled, TooMany}) {
     const auto Error = onlyErrorOf(Text);
     CHECK(Error.Value == "(hidden)");
     CHECK(Error.text().find(Cut) == std::string::npos);
