Settings: lists are again described as lists

Change: the line is back, and a test checks the description of a share, a choice and two lists word for word.

--- a/modules/clementine_settings/node/settings_table.cpp
+++ b/modules/clementine_settings/node/settings_table.cpp
@@ -107,6 +107,8 @@
 });
 
 template <class Value> constexpr bool IsList = false;
+template <class Value> constexpr bool IsList<std::vector<Value>> = true;
+
 /// @returns how a value of the setting is written, with its range.
 template <class Value>
 std::string formText(const setting &Setting, Value node_settings::*) {
--- a/tests/settings/test_settings_page.cpp
+++ b/tests/settings/test_settings_page.cpp
@@ -2,6 +2,7 @@
 
 #include "clementine_settings/clementine_settings.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -41,6 +42,22 @@
   }
 }
 
+TEST_CASE("what is allowed names the range, or the length of a list") {
+  const auto AllowedFor = [](std::string_view Key) {
+    const auto Table = settingsTable();
+    const auto Found =
+        std::find_if(Table.begin(), Table.end(), [&](const setting &Setting) {
+          return Setting.Key == Key;
+        });
+    REQUIRE(Found != Table.end());
+    return allowedText(*Found);
+  };
+  CHECK(AllowedFor("share") == "a decimal number, from 0 to 1");
+  CHECK(AllowedFor("limiter") == "learned, static or none");
+  CHECK(AllowedFor("seeds").starts_with("a list of up to 64 elements"));
+  CHECK(AllowedFor("peer_keys").starts_with("a list of up to 8 elements"));
+}
+
 TEST_CASE("the settings among the examples are sound") {
   const auto Folder = SourceFolder / "examples" / "settings";
   std::size_t Files = 0;
