Telemetry: logs, metrics, trace context and a span exporter

Cause: operators need one-line logs with a prefix and request id, Prometheus metrics, and a span for each hop; none of it may hold up the hot path. Ruled out: a lock around each histogram (atomic counts in Boost.Histogram do); a batch sent by each push (one post a span); sampling by the caller's flag, which would let callers fill the exporter; sending the last batch inside the duty, since a stop right after a start skips the body. Change: the module clementine_telemetry; Boost.Log, Boost.Histogram, curl and JSON stay inside sources.

--- /dev/null
+++ b/modules/clementine_telemetry/metrics/metrics_registry.h
@@ -0,0 +1,83 @@
+#ifndef CLEMENTINE_TELEMETRY_METRICS_METRICS_REGISTRY_H
+#define CLEMENTINE_TELEMETRY_METRICS_METRICS_REGISTRY_H
+
+#include "clementine_telemetry/metrics/metrics.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementine {
+
+/// A label of a metric's series.
+struct metric_label {
+  std::string Name;
+  std::string Value;
+
+  bool operator==(const metric_label &) const = default;
+};
+
+using metric_labels = std::vector<metric_label>;
+
+/// Keeps all metrics of a program and writes them as Prometheus text.
+///
+/// A part asks for its metrics once and keeps the references, which stay valid
+/// as long as the registry. Asking again for the same name and labels gives the
+/// same metric. Names follow Prometheus: `[a-z_][a-z0-9_]*`, counters end in
+/// `_total`, latencies in `_seconds`. A name has one kind.
+///
+/// Memory is bounded: beyond MostSeries, requests for new series give one
+/// shared metric of each kind that is not written, and are counted in
+/// `clementine_metric_series_refused_total`.
+class metrics_registry {
+public:
+  static constexpr std::size_t MostSeries = 4096;
+
+  metrics_registry();
+
+  metrics_registry(const metrics_registry &) = delete;
+  metrics_registry &operator=(const metrics_registry &) = delete;
+
+  /// @param Help one sentence on what is counted, with the unit.
+  counter &counterFor(std::string_view Name, std::string_view Help,
+                      const metric_labels &Labels = {});
+  gauge &gaugeFor(std::string_view Name, std::string_view Help,
+                  const metric_labels &Labels = {});
+  latency_histogram &latencyFor(std::string_view Name, std::string_view Help,
+                                const metric_labels &Labels = {});
+
+  /// @returns all metrics in the text format 0.0.4 of Prometheus.
+  std::string prometheusText() const;
+
+private:
+  template <class Metric> struct family {
+    std::string Help;
+    /// Each by the text of its labels.
+    std::map<std::string, std::unique_ptr<Metric>> Series;
+  };
+  template <class Metric>
+  using families = std::map<std::string, family<Metric>, std::less<>>;
+
+  template <class Metric>
+  Metric &metricFor(families<Metric> &Families, Metric &Refused,
+                    std::string_view Name, std::string_view Help,
+                    const metric_labels &Labels);
+  bool isNameFree(std::string_view Name) const;
+
+  mutable std::mutex Mutex;
+  std::size_t SeriesCount = 0;
+  families<counter> Counters;
+  families<gauge> Gauges;
+  families<latency_histogram> Latencies;
+  counter RefusedCounter;
+  gauge RefusedGauge;
+  latency_histogram RefusedLatency;
+  counter &SeriesRefused;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_telemetry/spans/span_exporter.h
@@ -0,0 +1,84 @@
+#ifndef CLEMENTINE_TELEMETRY_SPANS_SPAN_EXPORTER_H
+#define CLEMENTINE_TELEMETRY_SPANS_SPAN_EXPORTER_H
+
+#include "clementine_core/concurrency/bounded_ring.h"
+#include "clementine_core/supervision/supervisor.h"
+#include "clementine_telemetry/logs/logger.h"
+#include "clementine_telemetry/metrics/metrics_registry.h"
+#include "clementine_telemetry/spans/otlp_json.h"
+#include "clementine_telemetry/spans/span.h"
+#include "clementine_telemetry/spans/span_transport.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace clementine {
+
+/// Sends spans to a collector on a thread of its own.
+///
+/// Spans wait in a bounded ring and leave in batches. The caller never waits:
+/// when the ring is full, the span is dropped and counted. A batch that fails
+/// is counted and not sent again, so that a collector that is down costs no
+/// memory.
+class span_exporter final : public supervised {
+public:
+  /// Sizes and times of the export.
+  struct limits {
+    /// The most spans that wait.
+    std::size_t RingCapacity = 2048;
+    /// The most spans in one post.
+    std::size_t BatchSize = 256;
+    /// The wait between two looks at the ring.
+    duration Interval = std::chrono::seconds(1);
+  };
+
+  /// @param Metrics gets `clementine_spans_sent_total`,
+  /// `clementine_spans_dropped_total` (full ring) and
+  /// `clementine_spans_failed_total` (collector); it has to outlive this.
+  span_exporter(span_resource Resource,
+                std::unique_ptr<span_transport> Transport,
+                metrics_registry &Metrics, duty::escalation OnFault,
+                limits Limits);
+
+  span_exporter(const span_exporter &) = delete;
+  span_exporter &operator=(const span_exporter &) = delete;
+
+  /// Hands over a finished span; any thread may call it.
+  /// @returns whether the span waits now; if not, it is counted as dropped.
+  bool offer(span Span);
+
+  const std::string &name() const override { return Duty.name(); }
+  void start() override { Duty.start(); }
+
+  /// Ends the thread and sends what waits, unless the collector fails.
+  void stop() override;
+
+private:
+  void run(const std::atomic<bool> &Stopping);
+  void waitForInterval(const std::atomic<bool> &Stopping);
+  void wake();
+  void sendAll(const std::vector<span> &Spans);
+  bool sendBatch(std::span<const span> Batch);
+  void reportChange(bool Reached);
+
+  const span_resource Resource;
+  const limits Limits;
+  const logger Log;
+  const std::unique_ptr<span_transport> Transport;
+  counter &Sent;
+  counter &Dropped;
+  counter &Failed;
+  bool CollectorReached = true;
+  bounded_ring<span> Ring;
+  std::mutex Mutex;
+  std::condition_variable Wakened;
+  // Last, so that its thread ends before what it uses.
+  duty Duty;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/modules/clementine_telemetry/spans/trace_sampler.h
@@ -0,0 +1,24 @@
+#ifndef CLEMENTINE_TELEMETRY_SPANS_TRACE_SAMPLER_H
+#define CLEMENTINE_TELEMETRY_SPANS_TRACE_SAMPLER_H
+
+#include "clementine_telemetry/spans/trace_context.h"
+
+namespace clementine {
+
+/// Decides by its id alone whether a trace is sampled, so that every node with
+/// the same share decides alike and a trace is whole. A trace that is sampled
+/// at one share is sampled at every higher one.
+class trace_sampler {
+public:
+  /// @param Share from 0 (none) to 1 (all).
+  explicit trace_sampler(double Share);
+
+  bool isSampled(const trace_id &Trace) const;
+
+private:
+  double Share;
+};
+
+} // namespace clementine
+
+#endif
--- /dev/null
+++ b/tests/telemetry/test_logs.cpp
@@ -0,0 +1,68 @@
+#include <doctest/doctest.h>
+
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <regex>
+#include <sstream>
+
+using namespace clementine;
+
+namespace {
+
+/// Logs into a text.
+struct captured_log {
+  explicit captured_log(log_level Threshold) : Output(Stream, Threshold) {}
+
+  std::string text() {
+    Output.flush();
+    return Stream->str();
+  }
+
+  std::shared_ptr<std::ostringstream> Stream =
+      std::make_shared<std::ostringstream>();
+  log_output Output;
+};
+
+} // namespace
+
+TEST_CASE("a record has time, level, prefix, sentence and request id") {
+  captured_log Captured(log_level::Info);
+  const logger Log("gate");
+  Log.warning("The upstream is slow.",
+              {log_field(request_id{1, 2}), {"limit", 40U}});
+  CHECK(std::regex_match(
+      Captured.text(),
+      std::regex(R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z warning gate: )"
+                 R"(The upstream is slow\. )"
+                 R"(request=00000000000000010000000000000002 limit=40\n)")));
+}
+
+TEST_CASE("records below the threshold are not written") {
+  captured_log Captured(log_level::Warning);
+  const logger Log("gate");
+  Log.debug("hidden");
+  Log.info("hidden");
+  Log.error("shown");
+  CHECK(logger::isEnabled(log_level::Warning));
+  CHECK_FALSE(logger::isEnabled(log_level::Info));
+  CHECK(Captured.text().find("hidden") == std::string::npos);
+  CHECK(Captured.text().find("error gate: shown") != std::string::npos);
+}
+
+TEST_CASE("a value cannot forge a record and is cut when long") {
+  CHECK(log_field("caller", "a b").Text == "caller=\"a b\"");
+  CHECK(log_field("caller", "").Text == "caller=\"\"");
+  CHECK(log_field("caller", "x\n2026 error gate: \"y\"").Text ==
+        R"(caller="x\x0a2026 error gate: \"y\"")");
+  CHECK(log_field("body", std::string(9999, 'a')).Text.size() ==
+        5 + log_field::LongestValue);
+}
+
+TEST_CASE("without an output nothing is written, and outputs follow") {
+  const logger Log("gate");
+  Log.error("lost");
+  captured_log Captured(log_level::Info);
+  Log.info("kept");
+  CHECK(Captured.text().find("lost") == std::string::npos);
+  CHECK(Captured.text().find("kept") != std::string::npos);
+}
