Add the stand-in upstream with slots, sub-calls, faults and an oracle

Cause: experiments need services that behave as the users' own: limited slots and connections, work that takes time, sub-calls through their node, cold start, drain, shedding, cancellation, deadlines, and endpoints that mislead. Ruled out: suspended answers in an event loop (not in ulfius' interface); an oracle read over HTTP alone, which a killed instance would take along.

--- a/extras/stand_in_http/http_server.cpp
+++ b/extras/stand_in_http/http_server.cpp
@@ -124,8 +124,13 @@
       fill(*Response, {StatusTooLarge, "", {}, {}, false});
       return U_CALLBACK_COMPLETE;
     }
-    fill(*Response, Self.Handler(requestFrom(*Raw)));
-    return U_CALLBACK_COMPLETE;
+    try {
+      fill(*Response, Self.Handler(requestFrom(*Raw)));
+      return U_CALLBACK_COMPLETE;
+    } catch (const std::exception &) {
+      // The library is C, so nothing may pass through it.
+      return U_CALLBACK_ERROR;
+    }
   }
 
   const handler Handler;
--- /dev/null
+++ b/extras/stand_in_upstream/server/run_log.cpp
@@ -0,0 +1,111 @@
+#include "stand_in_upstream/server/run_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <stdexcept>
+
+namespace clementine {
+
+namespace {
+
+constexpr std::size_t LongestNonce = 64;
+
+/// Keys above this are only counted, so that memory is bounded.
+constexpr std::size_t MostKeys = 1000000;
+
+constexpr mode_t JournalMode = 0644;
+
+int openJournal(const std::string &Path) {
+  if (Path.empty())
+    return -1;
+  const int Descriptor = ::open(
+      Path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, JournalMode);
+  if (Descriptor < 0)
+    throw std::runtime_error("the journal can't be opened: " + Path);
+  return Descriptor;
+}
+
+std::int64_t microseconds(duration Span) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Span).count();
+}
+
+std::string orDash(const std::string &Text) {
+  const std::string Word = nonceOf(Text);
+  return Word.empty() ? "-" : Word;
+}
+
+std::string fields(const run_key &Key) {
+  return Key.Operation + ' ' + orDash(Key.IdempotencyKey) + ' ' +
+         orDash(Key.Nonce);
+}
+
+} // namespace
+
+std::string nonceOf(std::string_view Body) {
+  const auto *End = std::find_if(
+      Body.begin(), Body.begin() + std::min(Body.size(), LongestNonce),
+      [](unsigned char Character) { return !std::isgraph(Character); });
+  return {Body.begin(), End};
+}
+
+run_log::run_log(const std::string &JournalPath)
+    : Journal(openJournal(JournalPath)) {}
+
+run_log::~run_log() {
+  if (Journal >= 0)
+    ::close(Journal);
+}
+
+void run_log::begin(const run_key &Key) {
+  const std::lock_guard Lock(Mutex);
+  writeLine("begin " + fields(Key) + '\n');
+  if (Runs.size() >= MostKeys && !Runs.contains(Key)) {
+    ++Dropped;
+    return;
+  }
+  ++Runs[Key].Begun;
+}
+
+void run_log::end(const run_key &Key, bool IsCompleted, duration Spent) {
+  const std::lock_guard Lock(Mutex);
+  writeLine((IsCompleted ? "completed " : "aborted ") + fields(Key) + ' ' +
+            std::to_string(microseconds(Spent)) + '\n');
+  Busy += Spent;
+  if (IsCompleted)
+    BusyOnCompleted += Spent;
+  const auto Found = Runs.find(Key);
+  if (Found == Runs.end())
+    return;
+  Found->second.Completed += IsCompleted ? 1 : 0;
+  Found->second.Busy += Spent;
+}
+
+std::string run_log::json() const {
+  const std::lock_guard Lock(Mutex);
+  nlohmann::json Rows = nlohmann::json::array();
+  for (const auto &[Key, Counts] : Runs)
+    Rows.push_back({Key.Operation, Key.IdempotencyKey, Key.Nonce, Counts.Begun,
+                    Counts.Completed, microseconds(Counts.Busy)});
+  const nlohmann::json Record = {
+      {"busy_us", microseconds(Busy)},
+      {"busy_on_completed_us", microseconds(BusyOnCompleted)},
+      {"dropped", Dropped},
+      {"runs", Rows}};
+  return Record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void run_log::writeLine(const std::string &Line) {
+  if (Journal < 0)
+    return;
+  // One call for each line, so that a killed process leaves whole lines.
+  const ssize_t Written = ::write(Journal, Line.data(), Line.size());
+  if (Written != static_cast<ssize_t>(Line.size()))
+    throw std::runtime_error("the journal can't be written");
+}
+
+} // namespace clementine
--- /dev/null
+++ b/extras/stand_in_upstream/server/service_time.h
@@ -0,0 +1,19 @@
+#ifndef STAND_IN_UPSTREAM_SERVER_SERVICE_TIME_H
+#define STAND_IN_UPSTREAM_SERVER_SERVICE_TIME_H
+
+#include "clementine_core/random/random_source.h"
+#include "clementine_core/time/clock.h"
+
+namespace clementine {
+
+/// @returns a factor with log-normal spread and the mean 1.
+/// @param Spread the standard deviation of its logarithm.
+double sampleSpread(random_source &Random, double Spread);
+
+/// @returns how much slower work is at @p Age after a cold start: @p Factor at
+/// first, falling evenly to 1 at @p ColdTime.
+double coldFactor(duration Age, duration ColdTime, double Factor);
+
+} // namespace clementine
+
+#endif
