Put the stand-ins into a namespace of their own

Cause: the node's HTTP module has an http_server too, in the same namespace; a test that links both would mix the two classes. Ruled out: renaming either class, which reads worse in both places. Change: extras use clementine::stand_in. Conclusion: end-to-end tests can link node modules and stand-ins together.

--- a/extras/stand_in_http/http_client.cpp
+++ b/extras/stand_in_http/http_client.cpp
@@ -7,7 +7,7 @@
 #include <cstring>
 #include <string_view>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -152,4 +152,4 @@
   Idle.push_back(std::move(Handle));
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_http/http_client.h
+++ b/extras/stand_in_http/http_client.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// Makes blocking HTTP calls on kept connections, from any thread.
 ///
@@ -52,6 +52,6 @@
   std::vector<std::unique_ptr<handle>> Idle;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_http/http_server.cpp
+++ b/extras/stand_in_http/http_server.cpp
@@ -9,7 +9,7 @@
 #include <array>
 #include <charconv>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -199,4 +199,4 @@
   return true;
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_http/http_server.h
+++ b/extras/stand_in_http/http_server.h
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// A request as a stand-in's handler sees it.
 struct http_request {
@@ -84,6 +84,6 @@
 /// @returns false, leaving @p Endpoint as it was, for any other text.
 bool parseEndpoint(const std::string &Text, endpoint &Endpoint);
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_platform/main.cpp
+++ b/extras/stand_in_platform/main.cpp
@@ -19,7 +19,7 @@
 
 int run(const std::string &Listen, unsigned ProgressMilliseconds) {
   clementine::endpoint Endpoint;
-  if (!clementine::parseEndpoint(Listen, Endpoint)) {
+  if (!clementine::stand_in::parseEndpoint(Listen, Endpoint)) {
     std::cerr << "platform: --listen wants HOST:PORT, not " << Listen << '\n';
     return ExitBadUsage;
   }
@@ -30,11 +30,11 @@
   // Blocked before any thread starts, so that only this one hears of them.
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   try {
-    const clementine::platform_server Server(
+    const clementine::stand_in::platform_server Server(
         Endpoint, std::chrono::milliseconds(ProgressMilliseconds));
     std::cout << "platform: listening on " << Endpoint.text() << std::endl;
     return waitForStop(Signals);
-  } catch (const clementine::http_server_error &Error) {
+  } catch (const clementine::stand_in::http_server_error &Error) {
     std::cerr << "platform: " << Error.what() << '\n';
     return ExitFailure;
   }
--- a/extras/stand_in_platform/server/call_counts.cpp
+++ b/extras/stand_in_platform/server/call_counts.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -40,4 +40,4 @@
   return Counts.dump();
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_platform/server/call_counts.h
+++ b/extras/stand_in_platform/server/call_counts.h
@@ -8,7 +8,7 @@
 #include <mutex>
 #include <string>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// The calls that the platform counts.
 enum class platform_call : std::uint8_t {
@@ -44,6 +44,6 @@
   std::uint64_t MostInSecond = 0;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_platform/server/fault_switches.cpp
+++ b/extras/stand_in_platform/server/fault_switches.cpp
@@ -6,7 +6,7 @@
 #include <limits>
 #include <optional>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -95,4 +95,4 @@
   return true;
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_platform/server/fault_switches.h
+++ b/extras/stand_in_platform/server/fault_switches.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// How the platform fails to answer.
 enum class outage_kind : std::uint8_t {
@@ -64,6 +64,6 @@
   platform_faults Faults;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_platform/server/platform_server.cpp
+++ b/extras/stand_in_platform/server/platform_server.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 #include <utility>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -305,4 +305,4 @@
         CheckInterval, std::max<duration>(End - Time.now(), duration(0))));
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_platform/server/platform_server.h
+++ b/extras/stand_in_platform/server/platform_server.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <memory>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// Serves the used part of etcd v3's JSON mapping from memory, with switches
 /// for faults: `POST /stand-in/faults` and `GET /stand-in/counts`.
@@ -66,6 +66,6 @@
   std::unique_ptr<http_server> Server;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_upstream/main.cpp
+++ b/extras/stand_in_upstream/main.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using namespace clementine;
+using namespace clementine::stand_in;
 using std::chrono::milliseconds;
 
 constexpr int ExitBadUsage = 2;
--- a/extras/stand_in_upstream/server/node_announcer.cpp
+++ b/extras/stand_in_upstream/server/node_announcer.cpp
@@ -6,7 +6,7 @@
 #include <thread>
 #include <utility>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -72,4 +72,4 @@
                     Body.dump(), NodeTimeout);
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_upstream/server/node_announcer.h
+++ b/extras/stand_in_upstream/server/node_announcer.h
@@ -7,7 +7,7 @@
 
 #include <functional>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// Announces the upstream to its node, again and again until it drains.
 class node_announcer {
@@ -35,6 +35,6 @@
   duty Announcements;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_upstream/server/run_log.cpp
+++ b/extras/stand_in_upstream/server/run_log.cpp
@@ -9,7 +9,7 @@
 #include <cctype>
 #include <stdexcept>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -108,4 +108,4 @@
     throw std::runtime_error("the journal can't be written");
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_upstream/server/run_log.h
+++ b/extras/stand_in_upstream/server/run_log.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <tuple>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// Names a piece of work: the same text twice means the same work.
 struct run_key {
@@ -68,6 +68,6 @@
   const int Journal;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_upstream/server/service_time.cpp
+++ b/extras/stand_in_upstream/server/service_time.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <numbers>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 double sampleSpread(random_source &Random, double Spread) {
   // The Box-Muller transform: two even numbers give a normal one.
@@ -20,4 +20,4 @@
   return 1 + (Factor - 1) * Left;
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_upstream/server/service_time.h
+++ b/extras/stand_in_upstream/server/service_time.h
@@ -4,7 +4,7 @@
 #include "clementine_core/random/random_source.h"
 #include "clementine_core/time/clock.h"
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// @returns a factor with log-normal spread and the mean 1.
 /// @param Spread the standard deviation of its logarithm.
@@ -14,6 +14,6 @@
 /// first, falling evenly to 1 at @p ColdTime.
 double coldFactor(duration Age, duration ColdTime, double Factor);
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_upstream/server/upstream_faults.cpp
+++ b/extras/stand_in_upstream/server/upstream_faults.cpp
@@ -4,7 +4,7 @@
 
 #include <array>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -84,4 +84,4 @@
   return true;
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_upstream/server/upstream_faults.h
+++ b/extras/stand_in_upstream/server/upstream_faults.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// The faults of an upstream that are switched on.
 struct upstream_faults {
@@ -55,6 +55,6 @@
   upstream_faults Faults;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_upstream/server/upstream_server.cpp
+++ b/extras/stand_in_upstream/server/upstream_server.cpp
@@ -11,7 +11,7 @@
 
 #include <unistd.h>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -344,4 +344,4 @@
   return Record.dump();
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_upstream/server/upstream_server.h
+++ b/extras/stand_in_upstream/server/upstream_server.h
@@ -15,7 +15,7 @@
 #include <map>
 #include <memory>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// A service's instance as the users' own behave: limited slots, work that
 /// takes time, sub-calls through its node, a cold start, draining, shedding,
@@ -87,6 +87,6 @@
   std::unique_ptr<http_server> Server;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_upstream/server/upstream_settings.cpp
+++ b/extras/stand_in_upstream/server/upstream_settings.cpp
@@ -2,7 +2,7 @@
 
 #include <sstream>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 bool addToCallPlan(const std::string &Text, call_plan &Plan) {
   const std::size_t Equals = Text.find('=');
@@ -22,4 +22,4 @@
   return true;
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_upstream/server/upstream_settings.h
+++ b/extras/stand_in_upstream/server/upstream_settings.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// A call that an operation makes through its node.
 struct sub_call {
@@ -53,6 +53,6 @@
   std::string Journal;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_upstream/server/work_slots.cpp
+++ b/extras/stand_in_upstream/server/work_slots.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 work_slots::wait_end work_slots::acquire(claim &Claim, instant Deadline) {
   std::unique_lock Lock(Mutex);
@@ -55,4 +55,4 @@
   return {Slots - Free, static_cast<unsigned>(Waiting.size())};
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
--- a/extras/stand_in_upstream/server/work_slots.h
+++ b/extras/stand_in_upstream/server/work_slots.h
@@ -7,7 +7,7 @@
 #include <deque>
 #include <mutex>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 /// The slots of an upstream with the requests that wait for one, first come
 /// first served.
@@ -66,6 +66,6 @@
   const unsigned Slots;
 };
 
-} // namespace clementine
+} // namespace clementine::stand_in
 
 #endif
--- a/tests/stand_in/test_stand_in_platform.cpp
+++ b/tests/stand_in/test_stand_in_platform.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 
 using namespace clementine;
+using namespace clementine::stand_in;
 using namespace std::chrono_literals;
 
 namespace {
