--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,68 @@
+#include "child_process.h"
+
+#include <chrono>
+#include <thread>
+
+#include <csignal>
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace clementine::test {
+
+child_process::child_process(const std::string &Program,
+                             std::vector<std::string> Arguments,
+                             const std::string &LogFile) {
+  std::vector<char *> Raw;
+  std::string Name = Program;
+  Raw.push_back(Name.data());
+  for (std::string &Argument : Arguments)
+    Raw.push_back(Argument.data());
+  Raw.push_back(nullptr);
+  Id = fork();
+  if (Id != 0)
+    return;
+  const int Log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2(Log, STDOUT_FILENO);
+  dup2(Log, STDERR_FILENO);
+  execv(Name.c_str(), Raw.data());
+  _exit(127);
+}
+
+child_process::~child_process() { kill(); }
+
+void child_process::signal(int Number) const {
+  if (isRunning())
+    ::kill(Id, Number);
+}
+
+int child_process::stop() {
+  signal(SIGTERM);
+  return wait();
+}
+
+void child_process::kill() {
+  if (!isRunning())
+    return;
+  signal(SIGKILL);
+  waitpid(Id, nullptr, 0);
+  Id = -1;
+}
+
+int child_process::wait() {
+  if (!isRunning())
+    return -1;
+  const auto End = std::chrono::steady_clock::now() + std::chrono::minutes(1);
+  while (std::chrono::steady_clock::now() < End) {
+    int Status = 0;
+    if (waitpid(Id, &Status, WNOHANG) == Id) {
+      Id = -1;
+      return WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  kill();
+  return -1;
+}
+
+} // namespace clementine::test
--- /dev/null
+++ b/tests/process/child_process.h
@@ -0,0 +1,42 @@
+#ifndef CLEMENTINE_TESTS_PROCESS_CHILD_PROCESS_H
+#define CLEMENTINE_TESTS_PROCESS_CHILD_PROCESS_H
+
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace clementine::test {
+
+/// A process that this test started, and ends at the latest with itself.
+class child_process {
+public:
+  /// @param Program the path of the program.
+  /// @param LogFile gets its output.
+  child_process(const std::string &Program, std::vector<std::string> Arguments,
+                const std::string &LogFile);
+  ~child_process();
+
+  child_process(const child_process &) = delete;
+  child_process &operator=(const child_process &) = delete;
+
+  void signal(int Number) const;
+
+  /// Sends SIGTERM and waits.
+  /// @returns the exit code; -1 after a signal or a minute.
+  int stop();
+
+  /// Ends the process at once.
+  void kill();
+
+  bool isRunning() const { return Id > 0; }
+
+private:
+  int wait();
+
+  pid_t Id = -1;
+};
+
+} // namespace clementine::test
+
+#endif
--- /dev/null
+++ b/tests/process/deployment.cpp
@@ -0,0 +1,229 @@
+#include "deployment.h"
+
+#include "clementine_bundle/clementine_bundle.h"
+#include "clementine_platform/clementine_platform.h"
+
+#include <algorithm>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include <curl/curl.h>
+#include <stdlib.h>
+
+namespace clementine::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int HttpPort = 21000;
+constexpr int PeerPort = 21001;
+constexpr int GossipPort = 21002;
+constexpr int AdminPort = 21003;
+constexpr int UpstreamPort = 21010;
+constexpr int PlatformPort = 21020;
+constexpr const char *PlatformHost = "127.0.9.1";
+constexpr const char *OwnerName = "test-owner";
+
+std::string hostPort(const std::string &Host, int Port) {
+  return Host + ":" + std::to_string(Port);
+}
+
+std::string program(const std::string &Name) {
+  return std::string(CLEMENTINE_BINARY_DIR) + "/" + Name;
+}
+
+std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
+                       void *Body) {
+  static_cast<std::string *>(Body)->append(Data, Size * Count);
+  return Size * Count;
+}
+
+std::size_t addHeader(char *Data, std::size_t Size, std::size_t Count,
+                      void *Headers) {
+  const std::string Line(Data, Size * Count);
+  const auto Colon = Line.find(": ");
+  if (Colon != std::string::npos)
+    (*static_cast<std::map<std::string, std::string> *>(
+        Headers))[Line.substr(0, Colon)] =
+        Line.substr(Colon + 2, Line.find_last_not_of("\r\n") - Colon - 1);
+  return Size * Count;
+}
+
+/// The owner of all test bundles.
+const signing_key &ownerKey() {
+  static const signing_key Key = signing_key::generate();
+  return Key;
+}
+
+} // namespace
+
+http_result httpSend(const std::string &Method, const std::string &Url,
+                     const std::vector<std::string> &Headers,
+                     const std::string &Body,
+                     std::chrono::milliseconds Timeout) {
+  http_result Result;
+  CURL *Easy = curl_easy_init();
+  curl_slist *Lines = curl_slist_append(nullptr, "Expect:");
+  for (const std::string &Header : Headers)
+    Lines = curl_slist_append(Lines, Header.c_str());
+  curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
+  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Lines);
+  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Method.c_str());
+  if (Method == "POST") {
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(Body.size()));
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Body.data());
+  }
+  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(Timeout.count()));
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &appendBody);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Result.Body);
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &addHeader);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Result.Headers);
+  if (curl_easy_perform(Easy) == CURLE_OK)
+    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Result.Status);
+  curl_slist_free_all(Lines);
+  curl_easy_cleanup(Easy);
+  return Result;
+}
+
+bool await(const std::function<bool()> &Holds, std::chrono::seconds Patience) {
+  const auto End = std::chrono::steady_clock::now() + Patience;
+  while (std::chrono::steady_clock::now() < End) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(20ms);
+  }
+  return false;
+}
+
+deployment::deployment(std::vector<vm_plan> Plans) : Plans(std::move(Plans)) {
+  std::string Template = "/tmp/clementine-process-XXXXXX";
+  if (mkdtemp(Template.data()) == nullptr)
+    throw std::runtime_error("no folder for the test's files");
+  Folder = Template;
+  Platform = std::make_unique<child_process>(
+      program("stand_in_platform"),
+      std::vector<std::string>{"--listen",
+                               hostPort(PlatformHost, PlatformPort)},
+      logFile("platform"));
+  await(
+      [this] {
+        return httpSend("GET", platformUrl() + "/stand-in/counts", {}, "", 1s)
+                   .Status == 200;
+      },
+      10s);
+  for (const vm_plan &Plan : this->Plans)
+    startVm(Plan.Name);
+}
+
+deployment::~deployment() {
+  Nodes.clear();
+  Upstreams.clear();
+  Platform.reset();
+  const std::string Remove = "rm -rf '" + Folder + "'";
+  if (std::uncaught_exceptions() == 0 && std::system(Remove.c_str()) != 0)
+    std::fprintf(stderr, "could not remove %s\n", Folder.c_str());
+}
+
+std::string deployment::platformUrl() const {
+  return "http://" + hostPort(PlatformHost, PlatformPort);
+}
+
+std::string deployment::logFile(const std::string &Name) const {
+  return Folder + "/" + Name + ".log";
+}
+
+const vm_plan &deployment::planOf(const std::string &Vm) const {
+  return *std::find_if(Plans.begin(), Plans.end(),
+                       [&](const vm_plan &Plan) { return Plan.Name == Vm; });
+}
+
+std::string deployment::writeSettings(const vm_plan &Plan) const {
+  const std::string File = Folder + "/" + Plan.Name + ".ini";
+  std::ofstream Ini(File);
+  Ini << "[node]\nname = " << Plan.Name << "\ndata_centre = " << Plan.DataCentre
+      << "\nhttp_listen = " << hostPort(Plan.Host, HttpPort)
+      << "\npeer_listen = " << hostPort(Plan.Host, PeerPort)
+      << "\ngossip_listen = " << hostPort(Plan.Host, GossipPort)
+      << "\nadmin_listen = " << hostPort(Plan.Host, AdminPort)
+      << "\n[upstream]\nservice = " << Plan.Service
+      << "\nconnections = 100\n[platform]\nurl = " << platformUrl()
+      << "\n[security]\npeer_keys = "
+         "test:AQIDBAUGBwgJCgsMDQ4PEBESExQVFhcYGRobHB0eHyA=\n"
+      << "[bundle]\ntrusted_keys = " << OwnerName << ":"
+      << encodeBase64(std::string_view(reinterpret_cast<const char *>(
+                                           ownerKey().publicKey().Bytes.data()),
+                                       PublicKeyBytes))
+      << "\n[stop]\ngrace = 20s\n[membership]\nseeds = ";
+  std::string Separator;
+  for (const vm_plan &Other : Plans) {
+    Ini << Separator << hostPort(Other.Host, GossipPort);
+    Separator = ", ";
+  }
+  Ini << "\n";
+  return File;
+}
+
+void deployment::startVm(const std::string &Name) {
+  const vm_plan &Plan = planOf(Name);
+  Nodes[Name] = std::make_unique<child_process>(
+      program("clementined"),
+      std::vector<std::string>{"--settings", writeSettings(Plan)},
+      logFile(Name));
+  std::vector<std::string> Arguments = {
+      "--service",      Plan.Service,
+      "--listen",       hostPort(Plan.Host, UpstreamPort),
+      "--node",         "http://" + hostPort(Plan.Host, HttpPort),
+      "--service-time", std::to_string(Plan.ServiceTimeMilliseconds),
+      "--spread",       "0",
+      "--journal",      Folder + "/" + Name + ".runs"};
+  if (!Plan.Calls.empty()) {
+    Arguments.emplace_back("--calls");
+    Arguments.push_back(Plan.Calls);
+  }
+  Upstreams[Name] = std::make_unique<child_process>(
+      program("stand_in_upstream"), Arguments, logFile(Name + "-upstream"));
+}
+
+void deployment::acceptBundle(const std::string &Text) { (void)Text; }
+
+bool deployment::awaitReady(const std::string &Caller,
+                            const std::string &Target) {
+  return std::all_of(Plans.begin(), Plans.end(), [&](const vm_plan &Plan) {
+    return await(
+        [&] {
+          return call(Plan.Name, Target, Caller, {}, "ready").Status == 200;
+        },
+        60s);
+  });
+}
+
+http_result deployment::call(const std::string &Vm, const std::string &Target,
+                             const std::string &Caller,
+                             const std::vector<std::string> &MoreHeaders,
+                             const std::string &Body) const {
+  std::vector<std::string> Headers = MoreHeaders;
+  Headers.push_back("Clementine-Caller: " + Caller);
+  return httpSend("POST",
+                  "http://" + hostPort(planOf(Vm).Host, HttpPort) + "/call/" +
+                      Target,
+                  Headers, Body, 30s);
+}
+
+int deployment::runsOf(const std::string &Body) const {
+  int Begun = 0;
+  for (const vm_plan &Plan : Plans) {
+    std::ifstream Journal(Folder + "/" + Plan.Name + ".runs");
+    for (std::string Line; std::getline(Journal, Line);)
+      if (Line.rfind("begin", 0) == 0 && Line.find(Body) != std::string::npos)
+        ++Begun;
+  }
+  return Begun;
+}
+
+} // namespace clementine::test
