clementinectl: keygen, bundle check, sign and accept

Cause: operators need keys of their own, a check before the review, and a way to have a signed bundle accepted that tells the truth when answers are lost. Ruled out: TCLAP's own exit on errors, since the exit codes are documented; a test through processes alone, since commands are a library that runs in one. Change: a table of commands, one file each; files written without replacing a key; exit codes; held_bundle stays as a second name while the node uses it. Not run yet: against a platform over HTTP.

--- /dev/null
+++ b/apps/clementinectl/input/command_line.h
@@ -0,0 +1,52 @@
+#ifndef CLEMENTINECTL_INPUT_COMMAND_LINE_H
+#define CLEMENTINECTL_INPUT_COMMAND_LINE_H
+
+#include "clementinectl/command/command.h"
+
+#include <tclap/CmdLine.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace clementine::ctl {
+
+/// The options of one command: declare arguments on parser(), then parse().
+class command_line {
+public:
+  command_line(const command &Self, command_context &Context);
+
+  command_line(const command_line &) = delete;
+  command_line &operator=(const command_line &) = delete;
+
+  /// @returns what TCLAP's arguments are added to.
+  TCLAP::CmdLine &parser() { return Parser; }
+
+  /// Reads the arguments.
+  /// @returns the exit code if the command is over, after `--help` or an error.
+  std::optional<exit_code> parse(const std::vector<std::string> &Arguments);
+
+private:
+  const command &Self;
+  command_context &Context;
+  TCLAP::CmdLine Parser;
+};
+
+/// `--platform URL`, by default the environment's CLEMENTINE_PLATFORM.
+class platform_option {
+public:
+  explicit platform_option(command_line &Line);
+
+  /// @returns whether there is a platform to talk to.
+  bool isGiven() const { return !url().empty(); }
+
+  /// @returns the URL, or an empty text.
+  std::string url() const;
+
+private:
+  TCLAP::ValueArg<std::string> Argument;
+};
+
+} // namespace clementine::ctl
+
+#endif
