Spans for each hop, metrics of requests

Cause: operators need to see a whole request over its hops. Change: the entry and the gate each give a request a span and pass the traceparent on; the entry alone decides about sampling; an observer on the engine's thread counts outcomes by importance and hands spans to the exporter.

--- a/modules/clementine_node/node/node.cpp
+++ b/modules/clementine_node/node/node.cpp
@@ -5,6 +5,7 @@
 #include "clementine_node/callers/caller_frontend.h"
 #include "clementine_node/engine/engine_loop.h"
 #include "clementine_node/gossip/gossip_duty.h"
+#include "clementine_node/observe/request_observer.h"
 #include "clementine_node/platform/bundle_watch.h"
 #include "clementine_node/platform/claim_duty.h"
 #include "clementine_platform/clementine_platform.h"
@@ -22,6 +23,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds StopPollInterval{10};
+/// How long one post to the span collector may take.
+constexpr std::chrono::seconds SpanPostTimeout{2};
 /// How long peers have to hear that this node leaves before it counts on it.
 constexpr std::chrono::milliseconds LeaveNotice{300};
 
@@ -81,6 +84,7 @@
   request_engine_settings Engine;
   Engine.Entry.Self = Self;
   Engine.Entry.DataCentre = Settings.DataCentre;
+  Engine.Entry.SampleShare = Settings.SampleShare.Value;
   Engine.Entry.Throttle.Share = Settings.RetryShare.Value;
   Engine.Ledger.MostKeyedRuns = Settings.LedgerEntries;
   Engine.Ledger.KeepKeyedRuns = Settings.LedgerKeep;
@@ -121,6 +125,17 @@
                                                Limits);
 }
 
+std::unique_ptr<span_exporter> spansOf(const node_settings &Settings,
+                                       metrics_registry &Metrics) {
+  if (!Settings.SpanCollector)
+    return nullptr;
+  return std::make_unique<span_exporter>(
+      span_resource{"clementined", Settings.Name, Settings.DataCentre},
+      std::make_unique<http_span_transport>(Settings.SpanCollector->Text,
+                                            SpanPostTimeout),
+      Metrics, duty::escalation{}, span_exporter::limits{});
+}
+
 std::vector<std::string> liveNodesOf(const member_view &View) {
   std::vector<std::string> Names;
   for (const shared_member &Member : View.Local)
@@ -136,14 +151,13 @@
 /// threads and only push events.
 class node::implementation final : private peer_link_listener,
                                    private upstream_listener,
-                                   private frontend_listener,
-                                   private entry_observer,
-                                   private gate_observer {
+                                   private frontend_listener {
 public:
   explicit implementation(const node_settings &Settings)
       : Settings(Settings), Self{Settings.Name,
                                  firstIncarnation(wallMilliseconds())},
-        Keys(keyRingOf(Settings)), Platform(platformOf(Settings)),
+        Keys(keyRingOf(Settings)), Spans(spansOf(Settings, Metrics)),
+        Observer(Metrics, spanListener()), Platform(platformOf(Settings)),
         Peers({Settings.PeerListen}, Self, Keys, randomSeed(), Clock, *this),
         Upstream({static_cast<unsigned>(Settings.UpstreamConnections)}, *this),
         Frontend(*this),
@@ -156,7 +170,7 @@
         Gossip(gossipSettingsOf(Settings, Self), Keys, Clock,
                [this](const member_view &View) { viewChanged(View); }),
         Engine(engineSettingsOf(Settings, Self),
-               {Peers, Frontend, Claims, Upstream, *this, *this},
+               {Peers, Frontend, Claims, Upstream, Observer, Observer},
                limiterOf(Settings), randomSeed(), Clock,
                [this](const std::string &Service) { Gossip.want(Service); }),
         Server("http", callerServerOf(Settings), Frontend), Root("node") {
@@ -196,9 +210,17 @@
     return {std::shared_ptr<void>(), &Held};
   }
 
+  request_observer::span_listener spanListener() {
+    if (!Spans)
+      return {};
+    return [this](span Span) { Spans->offer(std::move(Span)); };
+  }
+
   /// Whoever serves starts last and stops first.
   void arrange() {
     auto Control = std::make_shared<supervisor>("control");
+    if (Spans)
+      Control->add(borrowed(*Spans));
     Control->add(borrowed(Bundles));
     Control->add(borrowed(Gossip));
     if (Watch)
@@ -326,21 +348,14 @@
       Watch->setWatcher(isWatcher(Settings.Name, liveNodesOf(View)));
   }
 
-  // From the engine's thread.
-  void callEnded(const entry_report &Report) override { (void)Report; }
-  void runEnded(const run_request &Request, const run_answer &Answer,
-                duration Queued, duration Ran) override {
-    (void)Request;
-    (void)Answer;
-    (void)Queued;
-    (void)Ran;
-  }
-
   const node_settings Settings;
   const monotonic_clock Clock;
   const node_identity Self;
   const peer_key_ring Keys;
   const logger Log{"node"};
+  metrics_registry Metrics;
+  std::unique_ptr<span_exporter> Spans;
+  request_observer Observer;
   std::unique_ptr<platform_store> Platform;
   peer_transport Peers;
   upstream_client Upstream;
--- a/modules/clementine_request/clementine_request.h
+++ b/modules/clementine_request/clementine_request.h
@@ -2,7 +2,8 @@
 /// upstream, the ledger of what has run, and the engine that joins them.
 ///
 /// Free of I/O. Needs clementine_core, clementine_wire, clementine_admission,
-/// clementine_routing and clementine_bundle.
+/// clementine_routing, clementine_bundle and the trace context of
+/// clementine_telemetry.
 #ifndef CLEMENTINE_REQUEST_H
 #define CLEMENTINE_REQUEST_H
 
--- a/modules/clementine_request/entry/entry_call.h
+++ b/modules/clementine_request/entry/entry_call.h
@@ -51,6 +51,7 @@
 struct entry_call {
   caller_request Source;
   request_context Context;
+  hop_trace Trace;
   bool Repeatable = false;
   call_phase Phase = call_phase::Running;
   instant ArrivedAt;
--- a/modules/clementine_request/entry/entry_ports.h
+++ b/modules/clementine_request/entry/entry_ports.h
@@ -2,6 +2,7 @@
 #define CLEMENTINE_REQUEST_ENTRY_ENTRY_PORTS_H
 
 #include "clementine_core/clementine_core.h"
+#include "clementine_request/tracing/hop_trace.h"
 #include "clementine_wire/messages/messages.h"
 
 #include <cstdint>
@@ -103,7 +104,7 @@
   std::string Caller;
   std::string Service;
   std::string Operation;
-  std::string TraceParent;
+  hop_trace Trace;
   importance Importance = importance::Normal;
   std::uint8_t Depth = 0;
   run_outcome Outcome = run_outcome::Unknown;
--- a/modules/clementine_request/entry/entry_service.cpp
+++ b/modules/clementine_request/entry/entry_service.cpp
@@ -47,7 +47,8 @@
                              gate_service &Gate, random_source &Random)
     : Settings(std::move(Settings)), Ports(Ports), Gate(Gate), Random(Random),
       Links(this->Settings.Self.Name, Ports.Peers),
-      Directory(std::make_shared<service_directory>()) {}
+      Directory(std::make_shared<service_directory>()),
+      Sampler(this->Settings.SampleShare) {}
 
 void entry_service::setBundle(std::shared_ptr<const bundle> Accepted) {
   Bundle = std::move(Accepted);
@@ -75,8 +76,9 @@
   if (Calls.size() <= Settings.MostCalls)
     Reason = Call->Source.Parent ? prepareSubCall(*Call, Now)
                                  : prepareRoot(*Call, Now);
-  Call->IsSurelyFirst = Call->Context.Key.empty() ||
-                        Call->Context.Send == send_number::First;
+  trace(*Call);
+  Call->IsSurelyFirst =
+      Call->Context.Key.empty() || Call->Context.Send == send_number::First;
   if (Reason == refusal::None && isRefusedEarly(*Call, Now))
     Reason = refusal::Overloaded;
   if (Reason != refusal::None)
@@ -147,6 +149,11 @@
   return refusal::None;
 }
 
+void entry_service::trace(entry_call &Call) {
+  Call.Trace = traceHop(Call.Context.TraceParent, Sampler, Random);
+  Call.Context.TraceParent = formatTraceparent(Call.Trace.Own);
+}
+
 bool entry_service::isRefusedEarly(const entry_call &Call, instant Now) {
   // A re-send is looked up, which costs the upstream nothing.
   if (!Call.Repeatable && Call.Context.Send == send_number::Again)
@@ -592,7 +599,7 @@
   Report.Caller = Call->Context.Caller;
   Report.Service = Source.Service;
   Report.Operation = Source.Operation;
-  Report.TraceParent = Call->Context.TraceParent;
+  Report.Trace = Call->Trace;
   Report.Importance = Call->Context.Importance;
   Report.Depth = Call->Context.Depth;
   Report.Outcome = Outcome;
--- a/modules/clementine_request/entry/entry_service.h
+++ b/modules/clementine_request/entry/entry_service.h
@@ -35,6 +35,8 @@
   /// The most calls at once.
   std::size_t MostCalls = 4096;
   retry_throttle_settings Throttle;
+  /// The share of traces that are sampled, from 0 to 1.
+  double SampleShare = 0;
 
   auto operator<=>(const entry_service_settings &) const = default;
 };
@@ -109,6 +111,7 @@
   refusal prepareSubCall(entry_call &Call, instant Now);
   refusal applyPolicy(entry_call &Call, instant Now);
   bool isRefusedEarly(const entry_call &Call, instant Now);
+  void trace(entry_call &Call);
   void begin(const call_pointer &Call, instant Now);
 
   void sendNext(const call_pointer &Call, instant Now);
@@ -159,6 +162,7 @@
   std::shared_ptr<const service_directory> Directory;
   std::unordered_map<std::string, std::unique_ptr<service_routes>> Routes;
   admission_hints Hints;
+  const trace_sampler Sampler;
   std::unordered_map<call_id, call_pointer> Calls;
   std::unordered_map<request_id, call_id, request_id_hash> CallByRun;
 };
--- a/modules/clementine_request/gate/gate_service.cpp
+++ b/modules/clementine_request/gate/gate_service.cpp
@@ -104,6 +104,8 @@
   Run->Waiting.push_back(From);
   Run->Budget = retry_budget(Request.Context.RetryBudget);
   Run->Request = std::move(Request);
+  Run->Trace = traceHop(Run->Request.Context.TraceParent, Sampler, Random);
+  Run->Request.Context.TraceParent = formatTraceparent(Run->Trace.Own);
   Runs[Run->Request.Run] = Run;
   admit(Run, Now);
 }
@@ -266,7 +268,7 @@
   Ledger.end(Run->Request.Run, Answer);
   Runs.erase(Run->Request.Run);
   const instant Started = Run->StartedAt.value_or(Now);
-  Observer.runEnded(Run->Request, Answer, Started - Run->ArrivedAt,
+  Observer.runEnded(Run->Request, Answer, Run->Trace, Started - Run->ArrivedAt,
                     Now - Started);
   for (const run_address &To : Run->Waiting)
     reply(To, Answer);
--- a/modules/clementine_request/gate/gate_service.h
+++ b/modules/clementine_request/gate/gate_service.h
@@ -5,6 +5,7 @@
 #include "clementine_core/clementine_core.h"
 #include "clementine_request/gate/upstream_port.h"
 #include "clementine_request/ledger/run_ledger.h"
+#include "clementine_request/tracing/hop_trace.h"
 #include "clementine_routing/retries/retry_budget.h"
 #include "clementine_wire/links/node_link.h"
 #include "clementine_wire/messages/messages.h"
@@ -47,7 +48,8 @@
   /// @param Queued the time before the run was started, or refused.
   /// @param Ran the time from start to end; zero when it was not run.
   virtual void runEnded(const run_request &Request, const run_answer &Answer,
-                        duration Queued, duration Ran) = 0;
+                        const hop_trace &Trace, duration Queued,
+                        duration Ran) = 0;
 };
 
 /// Times of a gate_service.
@@ -122,6 +124,7 @@
   /// One request between its arrival and its answer.
   struct active_run {
     run_request Request;
+    hop_trace Trace;
     instant ArrivedAt;
     instant Deadline;
     std::optional<instant> StartedAt;
@@ -160,6 +163,8 @@
   peer_port &Peers;
   gate_observer &Observer;
   random_source &Random;
+  /// Samples nothing by itself: the entry has decided.
+  const trace_sampler Sampler{0};
   std::string Service;
   std::unordered_map<request_id, run_pointer, request_id_hash> Runs;
   std::unordered_map<request_id, run_pointer, request_id_hash> ByToken;
--- a/tests/request/virtual_nodes.cpp
+++ b/tests/request/virtual_nodes.cpp
@@ -66,8 +66,8 @@
   void callEnded(const entry_report &Report) override {
     World.Reports.push_back(Report);
   }
-  void runEnded(const run_request &, const run_answer &, duration,
-                duration) override {}
+  void runEnded(const run_request &, const run_answer &, const hop_trace &,
+                duration, duration) override {}
 
   node_identity identity() const {
     return {"node-" + std::to_string(Index), Incarnation};
