--- a/modules/clementine_bundle/accept/bundle_publisher.cpp
+++ b/modules/clementine_bundle/accept/bundle_publisher.cpp
@@ -18,7 +18,7 @@
     "the signature does not verify",
     "the content is not the signed one",
     "what the platform holds is damaged",
-    "the platform failed; nothing was accepted",
+    "the platform failed before the write; this call changed nothing",
     "the platform failed after the write was sent; it may be accepted",
 };
 
