The thin path: three data centres, real processes, a whole answer back

Cause: nothing had yet been served from one end to the other. Ruled out: refusing the first request to a service in another data centre; membership learns of remote instances when they are wanted, so the first booking through the front was refused with no-upstream (seen: 502 from the parent, the child not run). Change: calls wait up to 1.5 s for a first instance; bundle watch, fetch and adoption joined; a test that starts platform, 3 nodes and 3 upstreams.

--- a/modules/clementine_node/bundles/bundle_duty.cpp
+++ b/modules/clementine_node/bundles/bundle_duty.cpp
@@ -50,7 +50,7 @@
 
 void bundle_duty::linkDown(link_id Link) { Events.tryPush(down_event{Link}); }
 
-std::shared_ptr<const held_bundle> bundle_duty::held() const {
+std::shared_ptr<const signed_bundle> bundle_duty::held() const {
   const std::lock_guard Lock(HeldMutex);
   return Held;
 }
--- a/modules/clementine_node/bundles/bundle_duty.h
+++ b/modules/clementine_node/bundles/bundle_duty.h
@@ -32,7 +32,7 @@
 public:
   /// Called on the duty's thread whenever a higher version is held.
   using held_listener =
-      std::function<void(std::shared_ptr<const held_bundle> Held)>;
+      std::function<void(std::shared_ptr<const signed_bundle> Held)>;
   /// Called on the duty's thread for what was refused.
   using refusal_listener = std::function<void(const update_refusal &Refusal)>;
 
@@ -56,7 +56,7 @@
   void linkDown(link_id Link);
 
   /// @returns what is held now; null for nothing.
-  std::shared_ptr<const held_bundle> held() const;
+  std::shared_ptr<const signed_bundle> held() const;
 
 private:
   struct fetch_event {
@@ -105,7 +105,7 @@
   instant NextFetch{};
   link_id NextLink = FirstBundleLink;
   mutable std::mutex HeldMutex;
-  std::shared_ptr<const held_bundle> Held;
+  std::shared_ptr<const signed_bundle> Held;
   duty Duty;
 };
 
--- a/modules/clementine_node/node/node.cpp
+++ b/modules/clementine_node/node/node.cpp
@@ -321,7 +321,7 @@
   }
 
   // From the bundle duty's thread.
-  void bundleHeld(const std::shared_ptr<const held_bundle> &Held) {
+  void bundleHeld(const std::shared_ptr<const signed_bundle> &Held) {
     Log.info("bundle in force",
              {{"version", Held->Head.Version}, {"owner", Held->Head.Owner}});
     Engine.push(
--- a/modules/clementine_node/platform/bundle_watch.cpp
+++ b/modules/clementine_node/platform/bundle_watch.cpp
@@ -94,11 +94,11 @@
 bool bundle_watch::readNewer() {
   const auto Held = Bundles.held();
   bundle_reader Reader(Store);
-  auto Updates = Reader.updatesAfter(Held ? Held->Head.Version : NoVersion);
-  if (Updates.has_error())
+  auto Update = Reader.updateAfter(Held ? Held->Head.Version : NoVersion);
+  if (Update.has_error())
     return false;
-  for (bundle_update &Update : Updates.value())
-    Bundles.platformHolds(std::move(Update));
+  if (Update.value())
+    Bundles.platformHolds(std::move(*Update.value()));
   return true;
 }
 
--- a/modules/clementine_request/entry/entry_call.h
+++ b/modules/clementine_request/entry/entry_call.h
@@ -45,6 +45,8 @@
   Claiming,
   /// The answers of nodes that may hold an earlier send.
   LookingUp,
+  /// A first instance of its service, of which this node has not heard yet.
+  Parked,
 };
 
 /// One request between its arrival and the answer to its caller.
@@ -69,6 +71,8 @@
   bool IsSurelyFirst = false;
   /// Whether an attempt ended without certainty.
   bool MayHaveRun = false;
+  /// When a parked call is given up.
+  instant ParkedUntil;
   /// The claim that this call holds or has found, and the gate it names.
   std::uint64_t Claim = 0;
   node_identity ClaimGate;
--- a/modules/clementine_request/entry/entry_service.cpp
+++ b/modules/clementine_request/entry/entry_service.cpp
@@ -63,6 +63,11 @@
       Candidates.push_back(Instance.Candidate);
     Known->Chooser.setCandidates(Candidates, Now);
   }
+  const auto Current = Calls;
+  for (const auto &[Id, Call] : Current)
+    if (Call->Phase == call_phase::Parked &&
+        !Directory->instancesOf(Call->Source.Service).empty())
+      goOn(Call, Now);
 }
 
 // Arrival.
@@ -177,12 +182,31 @@
   refusal Failure = refusal::None;
   const service_instance *Instance = choose(*Call, Failure, Now);
   if (Instance == nullptr) {
-    finish(Call, run_outcome::NotRun, Failure, {}, Now);
+    if (!park(Call, Failure, Now))
+      finish(Call, run_outcome::NotRun, Failure, {}, Now);
     return;
   }
   sendRun(Call, *Instance, Now);
 }
 
+void entry_service::goOn(const call_pointer &Call, instant Now) {
+  if (Call->Claim != 0 || Call->AttemptsSent > 0)
+    return;
+  Call->Phase = call_phase::Running;
+  begin(Call, Now);
+}
+
+bool entry_service::park(const call_pointer &Call, refusal Failure,
+                         instant Now) {
+  if (Failure != refusal::NoUpstream || Call->Claim != 0 ||
+      Call->AttemptsSent > 0)
+    return false;
+  if (Call->ParkedUntil == instant{})
+    Call->ParkedUntil = Now + Settings.ParkingTime;
+  Call->Phase = call_phase::Parked;
+  return true;
+}
+
 const service_instance *entry_service::choose(const entry_call &Call,
                                               refusal &Failure, instant Now) {
   const std::string &Service = Call.Source.Service;
@@ -247,7 +271,8 @@
   refusal Failure = refusal::None;
   const service_instance *Instance = choose(*Call, Failure, Now);
   if (Instance == nullptr) {
-    finish(Call, run_outcome::NotRun, Failure, {}, Now);
+    if (!park(Call, Failure, Now))
+      finish(Call, run_outcome::NotRun, Failure, {}, Now);
     return;
   }
   claim_request Request;
@@ -305,7 +330,8 @@
       rendezvousOrder(Directory->instancesOf(Call->Source.Service),
                       Call->Context.Key, Settings.KeyPlaces);
   if (Places.empty()) {
-    finish(Call, run_outcome::Unknown, refusal::NoRecord, {}, Now);
+    if (!park(Call, refusal::NoUpstream, Now))
+      finish(Call, run_outcome::Unknown, refusal::NoRecord, {}, Now);
     return;
   }
   for (const service_instance &Instance : Places)
@@ -541,12 +567,15 @@
 
 void entry_service::passTime(instant Now) {
   std::vector<call_pointer> Late;
+  std::vector<call_pointer> Unplaced;
   std::vector<std::pair<call_pointer, request_id>> Lost;
   for (const auto &[Id, Call] : Calls) {
     if (Now >= Call->Deadline + Settings.AnswerGrace) {
       Late.push_back(Call);
       continue;
     }
+    if (Call->Phase == call_phase::Parked && Now >= Call->ParkedUntil)
+      Unplaced.push_back(Call);
     for (entry_attempt &Attempt : Call->Attempts) {
       if (Attempt.State != attempt_state::Lost)
         continue;
@@ -558,6 +587,8 @@
   }
   for (const call_pointer &Call : Late)
     endAtDeadline(Call, Now);
+  for (const call_pointer &Call : Unplaced)
+    finish(Call, run_outcome::NotRun, refusal::NoUpstream, {}, Now);
   for (const auto &[Call, Run] : Lost)
     if (findAttempt(*Call, Run) != nullptr)
       giveUp(Call, Run, refusal::ConnectionLost, Now);
--- a/modules/clementine_request/entry/entry_service.h
+++ b/modules/clementine_request/entry/entry_service.h
@@ -27,6 +27,9 @@
   /// How long a lost connection's node is asked again before the outcome of an
   /// attempt counts as unknown.
   duration LostPatience = std::chrono::milliseconds(1000);
+  /// How long a call waits for a first instance of its service. A node learns
+  /// of the instances in other data centres when they are first asked for.
+  duration ParkingTime = std::chrono::milliseconds(1500);
   /// How many nodes are asked for an earlier send of a key, and among how many
   /// a first send of it is placed.
   std::size_t KeyPlaces = 4;
@@ -115,6 +118,8 @@
   void begin(const call_pointer &Call, instant Now);
 
   void sendNext(const call_pointer &Call, instant Now);
+  void goOn(const call_pointer &Call, instant Now);
+  bool park(const call_pointer &Call, refusal Failure, instant Now);
   void sendRun(const call_pointer &Call, const service_instance &Instance,
                instant Now);
   const service_instance *choose(const entry_call &Call, refusal &Failure,
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -190,7 +190,25 @@
       program("stand_in_upstream"), Arguments, logFile(Name + "-upstream"));
 }
 
-void deployment::acceptBundle(const std::string &Text) { (void)Text; }
+void deployment::acceptBundle(const std::string &Text) {
+  auto Content = bundle::parse(Text);
+  if (Content.has_error())
+    throw std::runtime_error(Content.error().front().text());
+  trusted_owners Owners;
+  Owners.add(OwnerName, ownerKey().publicKey());
+  etcd_platform_store Store(platformUrl(), {});
+  signed_bundle Signed{{}, Content.value()};
+  Signed.Head.Version = ++AcceptedVersion;
+  Signed.Head.Digest = Signed.Content.digest();
+  Signed.Head.Owner = OwnerName;
+  Signed.Head.WriteId.Bytes.fill(static_cast<std::uint8_t>(AcceptedVersion));
+  Signed.Head.Reason = "test";
+  Signed.Head.sign(ownerKey());
+  bundle_publisher Publisher(Store, Owners, {});
+  const auto Published = Publisher.publish(Signed);
+  if (Published.has_error())
+    throw std::runtime_error(Published.error().text());
+}
 
 bool deployment::awaitReady(const std::string &Caller,
                             const std::string &Target) {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -75,6 +75,7 @@
 
   const std::vector<vm_plan> Plans;
   std::string Folder;
+  std::uint64_t AcceptedVersion = 0;
   std::unique_ptr<child_process> Platform;
   std::map<std::string, std::unique_ptr<child_process>> Nodes;
   std::map<std::string, std::unique_ptr<child_process>> Upstreams;
--- /dev/null
+++ b/tests/process/test_path.cpp
@@ -0,0 +1,106 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "deployment.h"
+
+#include <csignal>
+#include <thread>
+
+using namespace clementine::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *BundleText = R"([bundle]
+format = 1
+name = process-test
+[service front]
+[operation front book]
+repeatable = no
+deadline = 5000ms
+[operation front read]
+repeatable = yes
+deadline = 5000ms
+[service desk]
+[operation desk book]
+repeatable = no
+[operation desk read]
+repeatable = yes
+[service ledger]
+[operation ledger book]
+repeatable = no
+[operation ledger read]
+repeatable = yes
+[caller mobile]
+owner = ops
+importance = high
+retry_budget = 3
+)";
+
+/// Three data centres; front calls desk, desk calls ledger.
+std::vector<vm_plan> chainOfThree() {
+  const std::string FrontCalls = "book=desk/book";
+  const std::string DeskCalls = "book=ledger/book";
+  return {{"front-1", "fukuoka", "127.0.1.1", "front", FrontCalls, 5},
+          {"desk-1", "kumamoto", "127.0.2.1", "desk", DeskCalls, 5},
+          {"ledger-1", "kagoshima", "127.0.3.1", "ledger", "", 5}};
+}
+
+} // namespace
+
+TEST_CASE("a request crosses three data centres and comes back whole") {
+  deployment Mesh(chainOfThree());
+  Mesh.acceptBundle(BundleText);
+  REQUIRE(Mesh.awaitReady("mobile", "front/read"));
+  const http_result First =
+      Mesh.call("ledger-1", "front/book", "mobile",
+                {"Idempotency-Key: k1", "Clementine-Send: first"}, "nonce-1");
+  CHECK(First.Status == 200);
+  CHECK(First.Headers.at("Clementine-Outcome") == "completed");
+  CHECK(Mesh.runsOf(" nonce-1") == 3);
+
+  // Sends again, numbered and not, find the first one's answer.
+  const http_result Again =
+      Mesh.call("desk-1", "front/book", "mobile",
+                {"Idempotency-Key: k1", "Clementine-Send: again"}, "nonce-1");
+  CHECK(Again.Status == 200);
+  CHECK(Again.Body == First.Body);
+  const http_result Unnumbered = Mesh.call("front-1", "front/book", "mobile",
+                                           {"Idempotency-Key: k2"}, "nonce-2");
+  CHECK(Unnumbered.Status == 200);
+  const http_result Resent = Mesh.call("ledger-1", "front/book", "mobile",
+                                       {"Idempotency-Key: k2"}, "nonce-2");
+  CHECK(Resent.Body == Unnumbered.Body);
+  CHECK(Mesh.runsOf(" nonce-1") == 3);
+  CHECK(Mesh.runsOf(" nonce-2") == 3);
+
+  SUBCASE("refusals say so and have run nowhere") {
+    const http_result Stranger =
+        Mesh.call("front-1", "front/book", "stranger", {}, "nonce-3");
+    CHECK(Stranger.Status == 403);
+    CHECK(Stranger.Headers.at("Clementine-Outcome") == "not-run");
+    const http_result NoKey =
+        Mesh.call("front-1", "front/book", "mobile", {}, "nonce-3");
+    CHECK(NoKey.Status == 400);
+    CHECK(Mesh.runsOf(" nonce-3") == 0);
+  }
+  SUBCASE("a new bundle is in force everywhere") {
+    std::string Changed = BundleText;
+    Changed += "[caller stranger]\nowner = ops\n";
+    Mesh.acceptBundle(Changed);
+    CHECK(Mesh.awaitReady("stranger", "front/read"));
+  }
+  SUBCASE("a graceful stop finishes what is in flight") {
+    http_result Late;
+    Mesh.upstream("ledger-1");
+    std::thread Caller([&] {
+      Late = Mesh.call("desk-1", "front/book", "mobile",
+                       {"Idempotency-Key: k4", "Clementine-Send: first"},
+                       "nonce-4");
+    });
+    await([&] { return Mesh.runsOf(" nonce-4") > 0; }, 10s);
+    CHECK(Mesh.node("front-1").stop() == 0);
+    Caller.join();
+    CHECK(Late.Status == 200);
+  }
+}
