Add clementine_load, the experiment tool, and both deployments

Cause: goodput, recovery, wasted work and the three counts that must be 0 have to be measured on real processes, at the sizes of both deployments. Ruled out: an oracle over HTTP (a killed VM takes its record along; journals stay); raw goodput for recovery (at 100/s the chance of Poisson arrivals alone falls below 95% of a window), so shares of arrivals are compared. Change: descriptions in INI read by the settings' strict reader, seeded open loop arrivals, client re-sends, curl_multi on a few threads, faults at times, processes ended by identifier, a measurement free of I/O, table, JSON, CSV, SVG. With "begun before the next send" replaced by "begun before the answer", and with every operation taken as non-repeatable, test_load fails. Conclusion: ready for clementined; not yet run against it.

--- /dev/null
+++ b/extras/clementine_load/decisions/resend_policy.cpp
@@ -0,0 +1,58 @@
+#include "clementine_load/decisions/resend_policy.h"
+
+#include <algorithm>
+
+namespace clementine::load {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds HardPause(5);
+constexpr milliseconds FirstBackOff(100);
+
+/// A client that could not connect tries another node this often.
+constexpr std::size_t MostUnsent = 5;
+
+std::size_t countUnsent(const request_record &Request) {
+  return static_cast<std::size_t>(std::count_if(
+      Request.Sends.begin(), Request.Sends.end(), [](const send_record &Send) {
+        return Send.Outcome == send_outcome::Unsent;
+      }));
+}
+
+} // namespace
+
+std::optional<instant> resend_policy::decide(const request_record &Request,
+                                             instant Now,
+                                             random_source &Random) const {
+  const send_outcome Last = Request.Sends.back().Outcome;
+  if (Last == send_outcome::Whole || Last == send_outcome::Wrong)
+    return std::nullopt;
+  const std::size_t Unsent = countUnsent(Request);
+  const std::size_t Sent = Request.Sends.size() - Unsent;
+  duration Pause = HardPause;
+  if (Last == send_outcome::Unsent) {
+    if (Unsent >= MostUnsent)
+      return std::nullopt;
+  } else {
+    if (Scenario.Resend == resend_kind::Never || Sent >= Scenario.MostSends)
+      return std::nullopt;
+    if (Scenario.Resend == resend_kind::BackOff) {
+      const duration Longest = FirstBackOff * (std::int64_t{1} << (Sent - 1));
+      Pause = Longest / 2 +
+              duration(static_cast<duration::rep>(
+                  Random.unit() * static_cast<double>((Longest / 2).count())));
+    }
+  }
+  const instant Next = Now + Pause;
+  if (Next >= Request.Arrived + Scenario.Patience)
+    return std::nullopt;
+  return Next;
+}
+
+bool resend_policy::isAgain(const request_record &Request) {
+  return countUnsent(Request) < Request.Sends.size();
+}
+
+} // namespace clementine::load
--- /dev/null
+++ b/extras/clementine_load/decisions/resend_policy.h
@@ -0,0 +1,32 @@
+#ifndef CLEMENTINE_LOAD_DECISIONS_RESEND_POLICY_H
+#define CLEMENTINE_LOAD_DECISIONS_RESEND_POLICY_H
+
+#include "clementine_core/random/random_source.h"
+#include "clementine_load/decisions/request_record.h"
+#include "clementine_load/description/scenario.h"
+
+#include <optional>
+
+namespace clementine::load {
+
+/// Decides whether and when a client sends its request again.
+class resend_policy {
+public:
+  /// @param Scenario has to outlive the policy.
+  explicit resend_policy(const scenario &Scenario) : Scenario(Scenario) {}
+
+  /// @returns when to send again, or nothing if the client gives up or is done.
+  std::optional<instant> decide(const request_record &Request, instant Now,
+                                random_source &Random) const;
+
+  /// @returns whether the next send has to say `again`: something sent before
+  /// may have reached a node.
+  static bool isAgain(const request_record &Request);
+
+private:
+  const scenario &Scenario;
+};
+
+} // namespace clementine::load
+
+#endif
--- /dev/null
+++ b/extras/clementine_load/main.cpp
@@ -0,0 +1,166 @@
+/// Runs an experiment: starts a deployment as processes, puts a scenario's load
+/// and faults on it, and tells what became of the requests.
+#include "clementine_load/output/report.h"
+#include "clementine_load/run/experiment.h"
+
+#include <tclap/CmdLine.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+using namespace clementine::load;
+
+constexpr int ExitFailure = 1;
+constexpr int ExitBadUsage = 2;
+constexpr int ExitUntruthful = 3;
+
+/// The time from the start until every operation is served.
+constexpr std::chrono::seconds ReadyPatience(30);
+
+/// The options of the command line.
+struct options {
+  std::string Deployment;
+  std::string Scenario;
+  std::string Report;
+  std::string Prepare;
+  std::string Accept;
+  run_folders Folders;
+};
+
+std::string readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    throw start_error("can't be read: " + Path);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+template <class Value>
+Value require(clementine::result<Value, description_error> Read,
+              const std::string &Path) {
+  if (!Read)
+    throw start_error(Path + ": " + Read.error().text());
+  return std::move(Read.value());
+}
+
+/// Runs a hook with the paths that it needs as arguments.
+void runHook(const std::string &Hook, const std::vector<std::string> &Arguments,
+             const std::string &LogPath) {
+  constexpr std::chrono::seconds HookPatience(30);
+  if (Hook.empty())
+    return;
+  std::vector<std::string> Command = {Hook};
+  Command.insert(Command.end(), Arguments.begin(), Arguments.end());
+  process_group Hooks;
+  if (!Hooks.start("hook", Command, LogPath) ||
+      Hooks.await("hook", HookPatience) != 0)
+    throw start_error("failed: " + Hook + "; see " + LogPath);
+}
+
+void writeReports(const std::string &Stem, const scenario &Scenario,
+                  const measurement &Result) {
+  std::ofstream(Stem + ".txt") << formatTable(Scenario, Result);
+  std::ofstream(Stem + ".json") << formatJson(Scenario, Result);
+  std::ofstream(Stem + ".csv") << formatCsv(Result);
+  std::ofstream(Stem + ".svg") << formatSvg(Scenario, Result);
+}
+
+node_keys readKeys(const std::string &Work) {
+  node_keys Keys{"sample:AQIDBAUGBwgJCgsMDQ4PEBESExQVFhcYGRobHB0eHyA=",
+                 "sample:4a/WhdASm0hUXRCW+cL3XW1IiByuqTCXLYxv68sZjcQ="};
+  std::ifstream File(Work + "/trusted-key");
+  std::getline(File, Keys.TrustedKey);
+  return Keys;
+}
+
+int runAll(const options &Options) {
+  const auto Deployment =
+      require(readDeployment(readFile(Options.Deployment)), Options.Deployment);
+  const auto Scenario =
+      require(readScenario(readFile(Options.Scenario)), Options.Scenario);
+  const std::string &Work = Options.Folders.Work;
+  std::filesystem::create_directories(Work);
+  const std::string HookLog = Work + "/hooks.log";
+  runHook(Options.Prepare, {Work}, HookLog);
+  running_deployment Running(Deployment, Options.Folders, readKeys(Work),
+                             Scenario.Seed);
+  Running.startPlatform();
+  Running.startInstances();
+  runHook(Options.Accept,
+          {Work, "http://" + Deployment.platformEndpoint().text(),
+           Deployment.Bundle.Text},
+          HookLog);
+  const std::string NotReady =
+      Running.awaitReady(Scenario.Streams, ReadyPatience);
+  if (!NotReady.empty()) {
+    (void)Running.stop();
+    throw start_error("not served in time: " + NotReady);
+  }
+  const auto Raw = runExperiment(Deployment, Scenario, Running);
+  for (const std::string &Name : Running.stop())
+    std::cout << "killed, because it had not ended in time: " << Name << '\n';
+  std::size_t Malformed = 0;
+  const auto Runs = Running.readJournals(Malformed);
+  const auto Result =
+      measure(Scenario, Deployment, Raw.Begin, Raw.Requests, Runs);
+  std::cout << formatTable(Scenario, Result);
+  if (Malformed > 0)
+    std::cout << "journal lines not understood            " << Malformed
+              << '\n';
+  if (!Options.Report.empty())
+    writeReports(Options.Report, Scenario, Result);
+  return Result.isTruthful() ? 0 : ExitUntruthful;
+}
+
+} // namespace
+
+int main(int Count, char **Values) try {
+  TCLAP::CmdLine Line(
+      "Runs an experiment on a deployment. Exit codes: 0 done and truthful, 1 "
+      "failed, 2 wrong usage, 3 a caller was told something false, a "
+      "non-repeatable request ran twice, or an answer went to the wrong "
+      "caller.",
+      ' ', CLEMENTINE_VERSION);
+  TCLAP::ValueArg<std::string> Deployment(
+      "", "deployment", "description of the deployment", true, "", "FILE");
+  TCLAP::ValueArg<std::string> Scenario(
+      "", "scenario", "description of the scenario", true, "", "FILE");
+  TCLAP::ValueArg<std::string> Programs("", "programs",
+                                        "folder of the built programs", false,
+                                        "build/bin", "FOLDER");
+  TCLAP::ValueArg<std::string> Work("", "work",
+                                    "folder for settings, logs and journals",
+                                    false, "build/run", "FOLDER");
+  TCLAP::ValueArg<std::string> Report(
+      "", "report", "writes FILE.txt, .json, .csv and .svg", false, "", "FILE");
+  TCLAP::ValueArg<std::string> Prepare(
+      "", "prepare", "run first, with the work folder", false, "", "PROGRAM");
+  TCLAP::ValueArg<std::string> Accept(
+      "", "accept",
+      "run when nodes have started, with the work folder, the platform's URL "
+      "and the bundle's text",
+      false, "", "PROGRAM");
+  TCLAP::ValueArg<std::string> Extra(
+      "", "node-settings", "file that is added to every node's settings", false,
+      "", "FILE");
+  for (TCLAP::Arg *Option : std::initializer_list<TCLAP::Arg *>{
+           &Deployment, &Scenario, &Programs, &Work, &Report, &Prepare, &Accept,
+           &Extra})
+    Line.add(Option);
+  Line.parse(Count, Values);
+  return runAll({Deployment.getValue(),
+                 Scenario.getValue(),
+                 Report.getValue(),
+                 Prepare.getValue(),
+                 Accept.getValue(),
+                 {Programs.getValue(), Work.getValue(),
+                  Extra.getValue().empty() ? "" : readFile(Extra.getValue())}});
+} catch (const std::exception &Error) {
+  std::cerr << "load: " << Error.what() << '\n';
+  return ExitFailure;
+}
--- /dev/null
+++ b/extras/clementine_load/run/experiment.cpp
@@ -0,0 +1,77 @@
+#include "clementine_load/run/experiment.h"
+
+#include "clementine_core/random/random_source.h"
+#include "clementine_load/decisions/arrival_schedule.h"
+#include "clementine_load/run/load_client.h"
+
+#include <algorithm>
+#include <iterator>
+#include <thread>
+
+namespace clementine::load {
+
+namespace {
+
+/// The wait before the first arrival, while threads start.
+constexpr std::chrono::milliseconds StartPause(100);
+
+/// A fault's begin or end.
+struct fault_step {
+  duration At{0};
+  bool IsBegin = true;
+  scheduled_fault Fault;
+};
+
+std::vector<fault_step> scheduleFaults(const scenario &Scenario) {
+  std::vector<fault_step> Steps;
+  for (const scheduled_fault &Fault : Scenario.Faults) {
+    Steps.push_back({Fault.At, true, Fault});
+    if (Fault.Until > Fault.At)
+      Steps.push_back({Fault.Until, false, Fault});
+  }
+  std::stable_sort(Steps.begin(), Steps.end(),
+                   [](const fault_step &Left, const fault_step &Right) {
+                     return Left.At < Right.At;
+                   });
+  return Steps;
+}
+
+/// Deals the arrivals out to the threads in turn.
+std::vector<std::vector<arrival>> dealArrivals(const scenario &Scenario) {
+  std::vector<std::vector<arrival>> Shares(Scenario.Threads);
+  const auto Arrivals = scheduleArrivals(Scenario);
+  for (std::size_t Index = 0; Index < Arrivals.size(); ++Index)
+    Shares[Index % Shares.size()].push_back(Arrivals[Index]);
+  return Shares;
+}
+
+} // namespace
+
+experiment_result runExperiment(const deployment &Deployment,
+                                const scenario &Scenario,
+                                running_deployment &Running) {
+  const auto Entries = Running.entries();
+  const auto Shares = dealArrivals(Scenario);
+  std::vector<std::vector<request_record>> Records(Shares.size());
+  experiment_result Result;
+  Result.Begin = std::chrono::steady_clock::now() + StartPause;
+  std::vector<std::thread> Threads;
+  Threads.reserve(Shares.size());
+  for (std::size_t Index = 0; Index < Shares.size(); ++Index)
+    Threads.emplace_back([&, Index] {
+      load_client Client(Deployment, Scenario, Entries,
+                         mixBits(Scenario.Seed * 7919 + Index));
+      Records[Index] = Client.run(Result.Begin, Shares[Index]);
+    });
+  for (const fault_step &Step : scheduleFaults(Scenario)) {
+    std::this_thread::sleep_until(Result.Begin + Step.At);
+    Running.apply(Step.Fault, Step.IsBegin);
+  }
+  for (std::thread &Thread : Threads)
+    Thread.join();
+  for (auto &Share : Records)
+    std::move(Share.begin(), Share.end(), std::back_inserter(Result.Requests));
+  return Result;
+}
+
+} // namespace clementine::load
--- /dev/null
+++ b/extras/clementine_load/run/load_client.h
@@ -0,0 +1,43 @@
+#ifndef CLEMENTINE_LOAD_RUN_LOAD_CLIENT_H
+#define CLEMENTINE_LOAD_RUN_LOAD_CLIENT_H
+
+#include "clementine_load/decisions/arrival_schedule.h"
+#include "clementine_load/decisions/request_record.h"
+#include "clementine_load/description/deployment.h"
+#include "clementine_load/description/scenario.h"
+
+#include <string>
+#include <vector>
+
+namespace clementine::load {
+
+/// Sends a share of a scenario's requests at their times from one thread, over
+/// connections that are kept, and records how each went.
+class load_client {
+public:
+  /// @param Deployment, Scenario, Entries have to outlive the client.
+  /// @param Entries the base URLs of the nodes that callers know.
+  /// @param Seed of the choice of nodes, of nonces and of waits.
+  load_client(const deployment &Deployment, const scenario &Scenario,
+              const std::vector<std::string> &Entries, std::uint64_t Seed);
+
+  load_client(const load_client &) = delete;
+  load_client &operator=(const load_client &) = delete;
+
+  /// Sends all of @p Arrivals and returns when each has ended.
+  /// @param Begin the instant from which arrivals count.
+  std::vector<request_record> run(instant Begin,
+                                  const std::vector<arrival> &Arrivals);
+
+private:
+  class session;
+
+  const deployment &Deployment;
+  const scenario &Scenario;
+  const std::vector<std::string> &Entries;
+  const std::uint64_t Seed;
+};
+
+} // namespace clementine::load
+
+#endif
--- a/extras/stand_in_upstream/server/run_log.cpp
+++ b/extras/stand_in_upstream/server/run_log.cpp
@@ -53,8 +53,8 @@
   return {Body.begin(), End};
 }
 
-run_log::run_log(const std::string &JournalPath)
-    : Journal(openJournal(JournalPath)) {}
+run_log::run_log(const std::string &JournalPath, const clock &Time)
+    : Time(Time), Journal(openJournal(JournalPath)) {}
 
 run_log::~run_log() {
   if (Journal >= 0)
@@ -63,7 +63,8 @@
 
 void run_log::begin(const run_key &Key) {
   const std::lock_guard Lock(Mutex);
-  writeLine("begin " + fields(Key) + '\n');
+  writeLine("begin " + fields(Key) + ' ' +
+            std::to_string(microseconds(Time.now().time_since_epoch())) + '\n');
   if (Runs.size() >= MostKeys && !Runs.contains(Key)) {
     ++Dropped;
     return;
--- a/extras/stand_in_upstream/server/run_log.h
+++ b/extras/stand_in_upstream/server/run_log.h
@@ -33,8 +33,11 @@
 class run_log {
 public:
   /// @param JournalPath a file that gets a line for each begin and end, so
-  /// that the record outlives the process; empty for none.
-  explicit run_log(const std::string &JournalPath);
+  /// that the record outlives the process; empty for none. A line has the kind
+  /// (begin, completed, aborted), operation, idempotency key, nonce, and the
+  /// monotonic time of a begin or the busy time of an end in microseconds.
+  /// @param Time has to outlive the log.
+  run_log(const std::string &JournalPath, const clock &Time);
   ~run_log();
 
   run_log(const run_log &) = delete;
@@ -60,6 +63,7 @@
 
   void writeLine(const std::string &Line);
 
+  const clock &Time;
   mutable std::mutex Mutex;
   std::map<run_key, counts> Runs;
   std::uint64_t Dropped = 0;
--- a/extras/stand_in_upstream/server/upstream_server.cpp
+++ b/extras/stand_in_upstream/server/upstream_server.cpp
@@ -101,7 +101,7 @@
 
 upstream_server::upstream_server(upstream_settings Given)
     : Settings(std::move(Given)), Started(Time.now()), Slots(Settings.Slots),
-      Runs(Settings.Journal), Random(Settings.Seed),
+      Runs(Settings.Journal, Time), Random(Settings.Seed),
       Reporter("reporter",
                [this](const std::atomic<bool> &Ending) {
                  while (!Ending) {
--- /dev/null
+++ b/tests/load/test_measure.cpp
@@ -0,0 +1,214 @@
+#include "clementine_load/decisions/answer_check.h"
+#include "clementine_load/decisions/arrival_schedule.h"
+#include "clementine_load/decisions/resend_policy.h"
+#include "clementine_load/measure/measurement.h"
+#include "clementine_load/output/report.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+
+using namespace clementine;
+using namespace clementine::load;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant Begin{1h};
+
+deployment smallDeployment() {
+  deployment Deployment;
+  service_description Front;
+  Front.Name = "front";
+  Front.Calls["book"] = {{"back", "hold"}};
+  Front.NotRepeatable = {"book"};
+  service_description Back;
+  Back.Name = "back";
+  Deployment.Services = {Front, Back};
+  return Deployment;
+}
+
+scenario surgeScenario() {
+  scenario Scenario;
+  Scenario.Duration = 20s;
+  Scenario.Patience = 2s;
+  Scenario.Streams = {{"desk", {"front", "book"}, importance::Critical, 50},
+                      {"web", {"back", "hold"}, importance::Low, 50}};
+  Scenario.Surges = {{6s, 10s, 3}};
+  return Scenario;
+}
+
+request_record requestAt(duration Time, const std::string &Nonce,
+                         const std::vector<send_outcome> &Outcomes) {
+  request_record Request;
+  Request.Nonce = Nonce;
+  Request.Arrived = Begin + Time;
+  instant Sent = Request.Arrived;
+  for (const send_outcome Outcome : Outcomes) {
+    Request.Sends.push_back({Sent, Sent + 50ms, Outcome});
+    Sent += 100ms;
+  }
+  return Request;
+}
+
+measurement measureOne(const request_record &Request, const run_index &Runs) {
+  return measure(surgeScenario(), smallDeployment(), Begin, {Request}, Runs);
+}
+
+upstream_run runAt(duration Time, const std::string &Operation = "book") {
+  return {Operation == "book" ? "front" : "back",
+          Operation,
+          Begin + Time,
+          10ms,
+          true,
+          true};
+}
+
+} // namespace
+
+TEST_CASE("arrivals repeat with their seed and follow the rate") {
+  const auto Scenario = surgeScenario();
+  const auto Arrivals = scheduleArrivals(Scenario);
+  CHECK(Arrivals == scheduleArrivals(Scenario));
+  std::size_t InSurge = 0;
+  for (const arrival &Arrival : Arrivals)
+    InSurge += Scenario.factorAt(Arrival.Time) > 1 ? 1 : 0;
+  // 4 s at 300/s, and 16 s at 100/s; five standard deviations wide.
+  CHECK(InSurge == doctest::Approx(1200).epsilon(0.15));
+  CHECK(Arrivals.size() - InSurge == doctest::Approx(1600).epsilon(0.13));
+}
+
+TEST_CASE("clients send again as their policy says and within their patience") {
+  auto Scenario = surgeScenario();
+  Scenario.Resend = resend_kind::BackOff;
+  Scenario.MostSends = 3;
+  seeded_random Random(1);
+  const resend_policy Policy(Scenario);
+  const auto Next = [&](const std::vector<send_outcome> &Outcomes,
+                        instant Now) {
+    return Policy.decide(requestAt(0s, "n", Outcomes), Now, Random);
+  };
+  using enum send_outcome;
+  CHECK_FALSE(Next({Whole}, Begin));
+  CHECK(Next({NotRun}, Begin) > Begin + 49ms);
+  CHECK(Next({NotRun}, Begin) < Begin + 101ms);
+  CHECK(Next({Broken, Unknown}, Begin) > Begin + 99ms);
+  CHECK_FALSE(Next({Broken, Unknown, Failed}, Begin));
+  CHECK_FALSE(Next({NotRun}, Begin + 2s));
+  CHECK(Next({NotRun, Unsent}, Begin));
+  Scenario.Resend = resend_kind::Never;
+  CHECK_FALSE(Next({NotRun}, Begin));
+  CHECK(Next({Unsent}, Begin));
+  CHECK_FALSE(Next({Unsent, Unsent, Unsent, Unsent, Unsent}, Begin));
+  CHECK_FALSE(resend_policy::isAgain(requestAt(0s, "n", {Unsent})));
+  CHECK(resend_policy::isAgain(requestAt(0s, "n", {Unsent, Broken})));
+}
+
+TEST_CASE("only an answer with every part and the own nonce is whole") {
+  const auto Deployment = smallDeployment();
+  const nlohmann::json Whole = {{"service", "front"},
+                                {"operation", "book"},
+                                {"echo", "n1"},
+                                {"calls",
+                                 {{{"service", "back"},
+                                   {"operation", "hold"},
+                                   {"echo", "n1"},
+                                   {"calls", nlohmann::json::array()}}}}};
+  const auto Judge = [&](const std::string &Body, long Status = 200,
+                         std::string_view Outcome = "completed") {
+    return judgeAnswer(Deployment, {"front", "book"}, "n1",
+                       {Status, Outcome, Body});
+  };
+  CHECK(Judge(Whole.dump()) == send_outcome::Whole);
+  auto Foreign = Whole;
+  Foreign["calls"][0]["echo"] = "n2";
+  CHECK(Judge(Foreign.dump()) == send_outcome::Wrong);
+  auto Partial = Whole;
+  Partial["calls"].clear();
+  CHECK(Judge(Partial.dump()) == send_outcome::Wrong);
+  CHECK(Judge(Whole.dump().substr(0, 40)) == send_outcome::Wrong);
+  CHECK(Judge(Whole.dump(), 502) == send_outcome::Failed);
+  CHECK(Judge("", 503, "not-run") == send_outcome::NotRun);
+  CHECK(Judge("", 504, "unknown") == send_outcome::Unknown);
+}
+
+TEST_CASE("a false \"not run\" is counted, a run by a later send isn't") {
+  using enum send_outcome;
+  CHECK(measureOne(requestAt(1s, "n", {NotRun}), {}).NotRunButRan == 0);
+  CHECK(measureOne(requestAt(1s, "n", {NotRun}), {{"n", {runAt(1s)}}})
+            .NotRunButRan == 1);
+  // Also when it begins only after the answer.
+  CHECK(measureOne(requestAt(1s, "n", {NotRun}), {{"n", {runAt(5s)}}})
+            .NotRunButRan == 1);
+  const auto Twice = requestAt(1s, "n", {NotRun, Whole});
+  CHECK(measureOne(Twice, {{"n", {runAt(1120ms)}}}).NotRunButRan == 0);
+  CHECK(measureOne(Twice, {{"n", {runAt(1020ms)}}}).NotRunButRan == 1);
+  CHECK(
+      measureOne(requestAt(1s, "n", {Broken, NotRun}), {{"n", {runAt(1020ms)}}})
+          .NotRunButRan == 1);
+  CHECK(measureOne(requestAt(1s, "n", {Unknown}), {{"n", {runAt(1s)}}})
+            .isTruthful());
+}
+
+TEST_CASE("a second run counts only where it may not be") {
+  using enum send_outcome;
+  const auto Request = requestAt(1s, "n", {Whole});
+  CHECK(measureOne(Request, {{"n", {runAt(1s), runAt(2s)}}}).RunTwice == 1);
+  CHECK(measureOne(Request, {{"n", {runAt(1s, "hold"), runAt(2s, "hold")}}})
+            .RunTwice == 0);
+  CHECK(measureOne(requestAt(1s, "n", {Wrong}), {}).WrongAnswers == 1);
+}
+
+TEST_CASE("work for requests that did not complete whole is wasted") {
+  using enum send_outcome;
+  const run_index Runs = {{"a", {runAt(1s)}}, {"b", {runAt(1s), runAt(2s)}}};
+  const auto Result = measure(
+      surgeScenario(), smallDeployment(), Begin,
+      {requestAt(1s, "a", {Whole}), requestAt(1s, "b", {Broken})}, Runs);
+  CHECK(Result.wastedShare() == doctest::Approx(2.0 / 3));
+  CHECK(Result.RunsPerRequest == doctest::Approx(1.5));
+}
+
+TEST_CASE("recovery is the first moment from which the share stays") {
+  using enum send_outcome;
+  const auto RecoveryWith = [](duration FailFrom, duration FailTo) {
+    std::vector<request_record> Requests;
+    for (duration Time{0}; Time < 20s; Time += 10ms)
+      Requests.push_back(requestAt(
+          Time, "n", {Time >= FailFrom && Time < FailTo ? NotRun : Whole}));
+    return measure(surgeScenario(), smallDeployment(), Begin, Requests, {})
+        .Recovery;
+  };
+  CHECK(RecoveryWith(6s, 10s) == duration(0));
+  CHECK(RecoveryWith(6s, 11500ms) == duration(1500ms));
+  // A second wave counts until its end.
+  CHECK(RecoveryWith(14s, 15s) == duration(5s));
+  CHECK_FALSE(RecoveryWith(19s, 20s));
+}
+
+TEST_CASE("a journal gives runs with their ends, and odd lines are counted") {
+  std::istringstream Journal("begin book k n 1000\n"
+                             "begin book k n 2000\n"
+                             "aborted book k n 0\n"
+                             "completed book k n 500\n"
+                             "odd\ncompleted other k m 5\nbegin book k n x\n");
+  run_index Runs;
+  CHECK(readJournal(Journal, "front", Runs) == 3);
+  REQUIRE(Runs["n"].size() == 2);
+  CHECK(Runs["n"][0].Begun == instant(1ms));
+  CHECK_FALSE(Runs["n"][0].IsCompleted);
+  CHECK(Runs["n"][1].Busy == 500us);
+}
+
+TEST_CASE("reports hold the counts that decide") {
+  const auto Scenario = surgeScenario();
+  const auto Result = measureOne(requestAt(1s, "n", {send_outcome::Wrong}), {});
+  CHECK(formatTable(Scenario, Result)
+            .find("answers to the wrong caller             1") !=
+        std::string::npos);
+  CHECK(nlohmann::json::parse(formatJson(Scenario, Result))["wrong_answers"] ==
+        1);
+  CHECK(formatCsv(Result).find("1.00,critical,1,0,0") != std::string::npos);
+  CHECK(formatSvg(Scenario, Result).find("<polyline") != std::string::npos);
+}
--- a/tests/stand_in/test_stand_in_upstream.cpp
+++ b/tests/stand_in/test_stand_in_upstream.cpp
@@ -80,6 +80,12 @@
   return nlohmann::json::parse(Client.get(Url + "/stand-in/runs", 2s)->Body);
 }
 
+/// A clock that always shows seven microseconds.
+class stopped_clock final : public clementine::clock {
+public:
+  instant now() const override { return instant(7us); }
+};
+
 /// Waits, bounded, until a condition holds.
 template <class Condition> bool eventually(Condition Holds) {
   for (int Round = 0; Round < 200; ++Round) {
@@ -273,8 +279,9 @@
   const std::string Path =
       std::string(CLEMENTINE_BINARY_DIR) + "/test_stand_in.journal";
   std::remove(Path.c_str());
+  const stopped_clock Time;
   {
-    run_log Log(Path);
+    run_log Log(Path, Time);
     Log.begin({"book", "k", "n"});
     Log.end({"book", "k", "n"}, true, 1500us);
     Log.begin({"book", "", "has\nbreak"});
@@ -283,6 +290,6 @@
   std::ifstream File(Path);
   std::stringstream Text;
   Text << File.rdbuf();
-  CHECK(Text.str() == "begin book k n\ncompleted book k n 1500\n"
-                      "begin book - has\naborted book - has 0\n");
+  CHECK(Text.str() == "begin book k n 7\ncompleted book k n 1500\n"
+                      "begin book - has 7\naborted book - has 0\n");
 }
