--- /dev/null
+++ b/modules/clementine_admin/views/status_page.h
@@ -0,0 +1,19 @@
+#ifndef CLEMENTINE_ADMIN_VIEWS_STATUS_PAGE_H
+#define CLEMENTINE_ADMIN_VIEWS_STATUS_PAGE_H
+
+#include "clementine_admin/status/node_status.h"
+
+#include <string>
+
+namespace clementine {
+
+/// The most rows of a table on the status page; a note says how many more
+/// there are.
+constexpr std::size_t MostPageRows = 500;
+
+/// Writes the status as a page of HTML without scripts. Every value is escaped.
+std::string statusPage(const node_status &Status);
+
+} // namespace clementine
+
+#endif
