--- a/extras/stand_in_http/http_server.cpp
+++ b/extras/stand_in_http/http_server.cpp
@@ -9,7 +9,7 @@
 #include <array>
 #include <charconv>
 
-namespace clementine {
+namespace clementine::stand_in {
 
 namespace {
 
@@ -124,8 +124,13 @@
       fill(*Response, {StatusTooLarge, "", {}, {}, false});
       return U_CALLBACK_COMPLETE;
     }
-    fill(*Response, Self.Handler(requestFrom(*Raw)));
-    return U_CALLBACK_COMPLETE;
+    try {
+      fill(*Response, Self.Handler(requestFrom(*Raw)));
+      return U_CALLBACK_COMPLETE;
+    } catch (const std::exception &) {
+      // The library is C, so nothing may pass through it.
+      return U_CALLBACK_ERROR;
+    }
   }
 
   const handler Handler;
@@ -194,4 +199,4 @@
   return true;
 }
 
-} // namespace clementine
+} // namespace clementine::stand_in
