clementinectl: diff, status, history, callers, explain, upstreams, nodes

Cause: the operations team begins its morning with who owns which caller and what it may cost; and rolls back, compares and looks who has which version. Ruled out: a client that keeps connections, since each node is asked once; the one of ulfius serves.

--- a/apps/clementinectl/command/bundle_accept.cpp
+++ b/apps/clementinectl/command/bundle_accept.cpp
@@ -61,8 +61,7 @@
   if (const auto Exit = Line.parse(Arguments))
     return *Exit;
   if (!Platform.isGiven())
-    return fail(Context, exit_code::Usage, "which platform?",
-                "give --platform URL or set CLEMENTINE_PLATFORM");
+    return failedWithoutPlatform(Context);
   const auto File = readSignedFile(Signed.getValue(), Context);
   if (!File)
     return exit_code::BadFile;
--- a/apps/clementinectl/command/command.cpp
+++ b/apps/clementinectl/command/command.cpp
@@ -17,10 +17,20 @@
     command{"keygen", "makes an owner's signing key", runKeygen},
     command{"bundle check", "lists every error of a bundle's text",
             runBundleCheck},
+    command{"bundle diff", "shows what a new text changes", runBundleDiff},
     command{"bundle sign", "signs a bundle's text as its next version",
             runBundleSign},
     command{"bundle accept", "has a signed bundle accepted by the platform",
             runBundleAccept},
+    command{"bundle status", "shows the accepted version and who has it",
+            runBundleStatus},
+    command{"bundle history", "lists accepted versions, or prints one's text",
+            runBundleHistory},
+    command{"callers", "shows owners, importance, limits and use of callers",
+            runCallers},
+    command{"explain", "shows which section decides about a call", runExplain},
+    command{"upstreams", "shows the upstreams that nodes know", runUpstreams},
+    command{"nodes", "shows the nodes that nodes know", runNodes},
 };
 
 void printHelp(std::ostream &Out) {
--- a/apps/clementinectl/command/command.h
+++ b/apps/clementinectl/command/command.h
@@ -3,6 +3,7 @@
 
 #include "clementine_platform/store/platform_store.h"
 #include "clementinectl/command/exit_code.h"
+#include "clementinectl/input/node_client.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,6 +23,10 @@
   /// Opens the platform at a URL such as `http://127.0.0.1:2379`.
   std::function<std::unique_ptr<platform_store>(const std::string &Url)>
       OpenPlatform;
+  /// Reads a path of a node's admin port; see fetchNode().
+  std::function<result<std::string, node_error>(const std::string &Node,
+                                                const std::string &Path)>
+      FetchNode;
   /// Seconds since 1970-01-01 UTC.
   std::function<std::int64_t()> Now;
   /// Waits before a further attempt, numbered from 1.
--- a/apps/clementinectl/command/commands.h
+++ b/apps/clementinectl/command/commands.h
@@ -18,6 +18,27 @@
 exit_code runBundleAccept(const command &Self,
                           const std::vector<std::string> &Arguments,
                           command_context &Context);
+exit_code runBundleDiff(const command &Self,
+                        const std::vector<std::string> &Arguments,
+                        command_context &Context);
+exit_code runBundleStatus(const command &Self,
+                          const std::vector<std::string> &Arguments,
+                          command_context &Context);
+exit_code runBundleHistory(const command &Self,
+                           const std::vector<std::string> &Arguments,
+                           command_context &Context);
+exit_code runCallers(const command &Self,
+                     const std::vector<std::string> &Arguments,
+                     command_context &Context);
+exit_code runExplain(const command &Self,
+                     const std::vector<std::string> &Arguments,
+                     command_context &Context);
+exit_code runUpstreams(const command &Self,
+                       const std::vector<std::string> &Arguments,
+                       command_context &Context);
+exit_code runNodes(const command &Self,
+                   const std::vector<std::string> &Arguments,
+                   command_context &Context);
 
 } // namespace clementine::ctl
 
--- a/apps/clementinectl/input/accepted.cpp
+++ b/apps/clementinectl/input/accepted.cpp
@@ -56,4 +56,9 @@
   return fail(Context, exit_code::Unavailable, Error.text(), CheckPlatform);
 }
 
+exit_code failedWithoutPlatform(command_context &Context) {
+  return fail(Context, exit_code::Usage, "which platform?",
+              "give --platform URL or set CLEMENTINE_PLATFORM");
+}
+
 } // namespace clementine::ctl
--- a/apps/clementinectl/input/accepted.h
+++ b/apps/clementinectl/input/accepted.h
@@ -13,6 +13,9 @@
 /// Prints why a bundle was not accepted.
 exit_code failedPublish(const publish_error &Error, command_context &Context);
 
+/// Says that the platform's URL is missing.
+exit_code failedWithoutPlatform(command_context &Context);
+
 } // namespace clementine::ctl
 
 #endif
--- /dev/null
+++ b/apps/clementinectl/input/bundle_source_option.h
@@ -0,0 +1,36 @@
+#ifndef CLEMENTINECTL_INPUT_BUNDLE_SOURCE_OPTION_H
+#define CLEMENTINECTL_INPUT_BUNDLE_SOURCE_OPTION_H
+
+#include "clementine_bundle/clementine_bundle.h"
+#include "clementinectl/input/command_line.h"
+
+#include <optional>
+
+namespace clementine::ctl {
+
+/// `--file FILE` for a bundle's text, or `--platform URL` for the newest
+/// accepted bundle.
+class bundle_source_option {
+public:
+  explicit bundle_source_option(command_line &Line);
+
+  /// @returns whether there is anything to read from.
+  bool isGiven() const;
+
+  /// Reads the bundle.
+  /// @returns empty after an error, whose code is then in @p Exit.
+  std::optional<bundle> read(command_context &Context, exit_code &Exit) const;
+
+private:
+  platform_option Platform;
+  mutable TCLAP::ValueArg<std::string> File;
+};
+
+/// Reads the newest accepted bundle; signatures are left to the nodes.
+/// @returns empty after an error, whose code is then in @p Exit.
+std::optional<signed_bundle>
+readAccepted(const std::string &Url, command_context &Context, exit_code &Exit);
+
+} // namespace clementine::ctl
+
+#endif
--- a/apps/clementinectl/input/command_line.cpp
+++ b/apps/clementinectl/input/command_line.cpp
@@ -44,8 +44,6 @@
                "the environment's CLEMENTINE_PLATFORM",
                false, environment(PlatformVariable), "URL", Line.parser()) {}
 
-std::string platform_option::url() const {
-  return const_cast<TCLAP::ValueArg<std::string> &>(Argument).getValue();
-}
+std::string platform_option::url() const { return Argument.getValue(); }
 
 } // namespace clementine::ctl
--- a/apps/clementinectl/input/command_line.h
+++ b/apps/clementinectl/input/command_line.h
@@ -44,7 +44,8 @@
   std::string url() const;
 
 private:
-  TCLAP::ValueArg<std::string> Argument;
+  // TCLAP can only be asked without const.
+  mutable TCLAP::ValueArg<std::string> Argument;
 };
 
 } // namespace clementine::ctl
--- a/apps/clementinectl/main.cpp
+++ b/apps/clementinectl/main.cpp
@@ -1,5 +1,6 @@
 #include "clementine_platform/etcd/etcd_platform_store.h"
 #include "clementinectl/command/command.h"
+#include "clementinectl/input/node_client.h"
 
 #include <chrono>
 #include <iostream>
@@ -34,8 +35,8 @@
 } // namespace
 
 int main(int Count, char **Words) {
-  ctl::command_context Context{std::cout, std::cerr, openPlatform, secondsNow,
-                               pauseBefore};
+  ctl::command_context Context{std::cout,      std::cerr,  openPlatform,
+                               ctl::fetchNode, secondsNow, pauseBefore};
   const std::vector<std::string> Arguments(Words + 1, Words + Count);
   return static_cast<int>(ctl::runCommand(Arguments, Context));
 }
--- a/modules/clementine_bundle/spread/bundle_replica.h
+++ b/modules/clementine_bundle/spread/bundle_replica.h
@@ -50,9 +50,6 @@
   PeerNotBehind,
 };
 
-/// What a replica holds.
-using held_bundle = signed_bundle;
-
 /// What one node holds of the bundle, and what it tells its peers. Free of
 /// I/O; for one thread.
 ///
--- a/tests/clementinectl/command_runner.h
+++ b/tests/clementinectl/command_runner.h
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 
 #include <unistd.h>
@@ -73,11 +74,20 @@
     Out.str({});
     Err.str({});
     ctl::command_context Context{
-        Out, Err,
+        Out,
+        Err,
         [this](const std::string &) -> std::unique_ptr<platform_store> {
           return std::make_unique<borrowed_store>(Platform);
         },
-        [] { return 1'796'000'000; }, [](unsigned) {}};
+        [this](const std::string &Node, const std::string &Path)
+            -> result<std::string, ctl::node_error> {
+          const auto Found = NodeAnswers.find(Node + Path);
+          if (Found == NodeAnswers.end())
+            return ctl::node_error{};
+          return Found->second;
+        },
+        [] { return 1'796'000'000; },
+        [](unsigned) {}};
     return ctl::runCommand(Words, Context);
   }
 
@@ -93,6 +103,8 @@
     return Text.str();
   }
 
+  /// The bodies that nodes answer with, by address and path.
+  std::map<std::string, std::string> NodeAnswers;
   std::ostringstream Out;
   std::ostringstream Err;
 
--- a/tests/clementinectl/test_commands.cpp
+++ b/tests/clementinectl/test_commands.cpp
@@ -109,3 +109,126 @@
   for (const ctl::command &Command : ctl::commands())
     CHECK(Runner.Out.str().find(Command.Name) != std::string::npos);
 }
+
+TEST_CASE("diff shows changed, added and removed parts against what holds") {
+  accepted_runner Runner;
+  CHECK(Runner.run("bundle diff -p x @/first.ini") == exit_code::Success);
+  CHECK(Runner.Out.str().empty());
+  CHECK(Runner.run("bundle diff -p x @/second.ini") == exit_code::Negative);
+  CHECK(Runner.Out.str() ==
+        "  [caller temple-front]\n- rate = 100/s\n+ rate = 50/s\n");
+  Runner.write("/third.ini",
+               textWithRate("100/s") + "[caller new]\nowner = web\n");
+  CHECK(Runner.run("bundle diff --file @/first.ini @/third.ini") ==
+        exit_code::Negative);
+  CHECK(Runner.Out.str() == "+ [caller new]\n+ owner = web\n");
+  CHECK(Runner.run("bundle diff --json --file @/third.ini @/first.ini") ==
+        exit_code::Negative);
+  const auto Json = nlohmann::json::parse(Runner.Out.str());
+  CHECK(Json["changes"][0]["after"] == "");
+}
+
+TEST_CASE("history lists versions and gives back a text to roll back to") {
+  accepted_runner Runner;
+  REQUIRE(Runner.run("bundle sign -k @/night-desk.key -p x @/second.ini") ==
+          exit_code::Success);
+  REQUIRE(Runner.run("bundle accept -p x -s @/second.ini.signed") ==
+          exit_code::Success);
+  CHECK(Runner.run("bundle history -p x") == exit_code::Success);
+  CHECK(Runner.Out.str().find("2026-11-30") != std::string::npos);
+  CHECK(Runner.run("bundle history -p x --text 1") == exit_code::Success);
+  CHECK(bundle::parse(Runner.Out.str()).value() ==
+        bundle::parse(textWithRate("100/s")).value());
+  CHECK(Runner.run("bundle history -p x --text 9") == exit_code::NotFound);
+  CHECK(Runner.run("bundle history -p x --json --last 1") ==
+        exit_code::Success);
+  CHECK(nlohmann::json::parse(Runner.Out.str())["history"][0]["version"] == 2);
+}
+
+TEST_CASE("status shows which nodes are behind, and which gave no answer") {
+  accepted_runner Runner;
+  Runner.NodeAnswers["a:1/v1/bundle"] =
+      R"({"node": {"name": "n1"}, "bundle": {"version": 1}})";
+  Runner.NodeAnswers["b:1/v1/bundle"] =
+      R"({"node": {"name": "n2"}, "bundle": null})";
+  CHECK(Runner.run("bundle status -p x -n a:1 -n b:1 -n c:1") ==
+        exit_code::Success);
+  CHECK(Runner.Out.str().find("accepted: version 1") != std::string::npos);
+  CHECK(Runner.Out.str().find("in force") != std::string::npos);
+  CHECK(Runner.Out.str().find("has no bundle") != std::string::npos);
+  CHECK(Runner.Err.str().find("node c:1 gave no answer") != std::string::npos);
+  CHECK(Runner.run("bundle status -p x -n c:1") == exit_code::Unavailable);
+}
+
+TEST_CASE("callers adds up their use over nodes and keeps to an owner") {
+  accepted_runner Runner;
+  const std::string Answer =
+      R"({"callers": [{"name": "temple-front", "owner": "liaison",
+          "now": {"rate_per_second": 1.5, "cost_per_second": 4}}]})";
+  Runner.NodeAnswers["a:1/v1/callers"] = Answer;
+  Runner.NodeAnswers["b:1/v1/callers"] = Answer;
+  CHECK(Runner.run("callers -p x -n a:1 -n b:1 --owner liaison --json") ==
+        exit_code::Success);
+  const auto Json = nlohmann::json::parse(Runner.Out.str());
+  REQUIRE(Json["callers"].size() == 1);
+  CHECK(Json["callers"][0]["now"]["rate_per_second"] == 3);
+  CHECK(Json["callers"][0]["limits"]["rate_per_second"] == 100);
+  CHECK(Runner.run("callers -n a:1") == exit_code::Success);
+  CHECK(Runner.Out.str().find("liaison") != std::string::npos);
+  CHECK(Runner.run("callers") == exit_code::Usage);
+  Runner.NodeAnswers["a:1/v1/callers"] = "<html>";
+  CHECK(Runner.run("callers -n a:1") == exit_code::Unavailable);
+}
+
+TEST_CASE("explain names the section behind each value") {
+  accepted_runner Runner;
+  CHECK(Runner.run("explain -p x --json night-phone hall-desk reserve") ==
+        exit_code::Success);
+  const auto Json = nlohmann::json::parse(Runner.Out.str());
+  CHECK(Json["importance"]["value"] == "critical");
+  CHECK(Json["importance"]["decided_by"] == "caller night-phone");
+  CHECK(Json["repeatable"]["decided_by"] == "operation hall-desk reserve");
+  CHECK(Runner.run("explain -p x nobody hall-desk reserve") ==
+        exit_code::NotFound);
+  CHECK(Runner.run("explain -p x night-phone") == exit_code::Usage);
+}
+
+TEST_CASE("nodes and upstreams show what each node sees, whatever it answers") {
+  accepted_runner Runner;
+  Runner.NodeAnswers["a:1/v1/nodes"] =
+      R"({"node": {"name": "n1"}, "nodes": [{"name": "n2", "state": "alive"}]})";
+  Runner.NodeAnswers["a:1/v1/upstreams"] =
+      R"({"upstreams": [7, {"limit": []}]})";
+  CHECK(Runner.run("nodes -n a:1") == exit_code::Success);
+  CHECK(Runner.Out.str().find("alive") != std::string::npos);
+  CHECK(Runner.run("upstreams -n a:1") == exit_code::Success);
+  CHECK(Runner.run("upstreams -n a:1 --json") == exit_code::Success);
+  CHECK(Runner.run("nodes") == exit_code::Usage);
+}
+
+TEST_CASE("the samples of both deployments are valid and mark what matters") {
+  const auto Read = [](const std::string &Name) {
+    std::stringstream Text;
+    Text << std::ifstream(CLEMENTINE_SOURCE_DIR "/examples/bundles/" + Name)
+                .rdbuf();
+    return bundle::parse(Text.str()).value();
+  };
+  const bundle Takamori = Read("takamori.ini");
+  const bundle Association = Read("association.ini");
+  const auto Slot =
+      Takamori.decide("night-desk", "crematory-desk", "reserve").value();
+  CHECK(Slot.Importance == importance::Critical);
+  CHECK_FALSE(Slot.Repeatable);
+  CHECK_FALSE(Takamori.decide("florist-gateway", "wake-kitchen", "order")
+                  .value()
+                  .Repeatable);
+  CHECK(Association.decide("crew-app", "catalogue", "look-up-cable")
+            .value()
+            .Importance == importance::Critical);
+  CHECK_FALSE(Association.decide("member-portal", "inspections", "book")
+                  .value()
+                  .Repeatable);
+  CHECK_FALSE(Association.decide("member-portal", "warranties", "register")
+                  .value()
+                  .Repeatable);
+}
