Limiter: measured in a model of one gate; swings near the slots

Change: tolerance 1.5, cuts aim at 1.25 times the floor, doubling ends near the knee, the floor sinks slowly unless the upstream is clearly faster; the limit counts as reached by what runs, not by the queue (without a queue the limit had stayed at 3).

--- a/modules/clementine_admission/gate/admission_gate.cpp
+++ b/modules/clementine_admission/gate/admission_gate.cpp
@@ -24,7 +24,7 @@
     return refuse(Ticket, refusal_reason::AlreadyPresent, Now);
   if (!canFinish(Ticket, Queue.countBefore(Rank), Now))
     return refuse(Ticket, refusal_reason::DeadlineTooClose, Now);
-  if (isBelowLevel(Rank))
+  if (isBelowLevel(Ticket.Importance))
     return refuse(Ticket, refusal_reason::BelowLevel, Now);
   if (!Queue.empty() || Running.size() >= Limiter->limit())
     return enqueue(Ticket, Now);
@@ -38,6 +38,7 @@
   if (Found == Running.end())
     return {};
   const running_attempt Attempt = Found->second;
+  const bool LimitReached = Running.size() >= Limiter->limit();
   Running.erase(Found);
 
   const duration Taken = Now - Attempt.StartedAt;
@@ -46,13 +47,13 @@
     ServiceTime.learn(Taken);
   Limiter->learn({Result.Outcome, Attempt.StartedAt,
                   std::max(duration(0), Taken - Result.SubCallTime),
-                  Attempt.InFlightAtStart, !Queue.empty()},
+                  Attempt.InFlightAtStart, LimitReached},
                  Now);
 
   gate_actions Actions;
   startWaiting(Actions, Now);
   if (hasSlack())
-    FirstRefused.reset();
+    MostImportantRefused.reset();
   Tracker.onEnd(hasSlack(), Now);
   return Actions;
 }
@@ -91,7 +92,7 @@
   const bool DueToLoad = Reason == refusal_reason::QueueFull ||
                          Reason == refusal_reason::BelowLevel;
   if (DueToLoad) {
-    holdLevel(Ticket.rank());
+    holdLevel(Ticket.Importance);
     Tracker.onRefusal(Now);
   }
   return {offer_verdict::Refused, Reason, level(), {}};
@@ -109,7 +110,7 @@
       Refused = true;
       continue;
     }
-    holdLevel(Last.rank());
+    holdLevel(Last.Importance);
     Tracker.onRefusal(Now);
     Others.Refused.push_back({Last, refusal_reason::Displaced});
   }
@@ -144,18 +145,19 @@
     Actions.Refused.push_back({*Ticket, refusal_reason::DeadlineTooClose});
 }
 
-void admission_gate::holdLevel(const admission_rank &Refused) {
-  if (!Settings.HoldsLevel || (FirstRefused && *FirstRefused <= Refused))
+void admission_gate::holdLevel(importance Refused) {
+  if (!Settings.HoldsLevel ||
+      (MostImportantRefused && *MostImportantRefused <= Refused))
     return;
-  FirstRefused = Refused;
+  MostImportantRefused = Refused;
 }
 
 bool admission_gate::hasSlack() const {
   return Queue.empty() && Running.size() < Limiter->limit();
 }
 
-bool admission_gate::isBelowLevel(const admission_rank &Rank) const {
-  return FirstRefused && Rank > *FirstRefused;
+bool admission_gate::isBelowLevel(importance Importance) const {
+  return MostImportantRefused && Importance > *MostImportantRefused;
 }
 
 bool admission_gate::canFinish(const admission_ticket &Ticket,
--- a/modules/clementine_admission/gate/admission_gate.h
+++ b/modules/clementine_admission/gate/admission_gate.h
@@ -29,7 +29,7 @@
   bool OrdersByRank = true;
   /// Whether deadlines count.
   bool HeedsDeadlines = true;
-  /// Whether a refusal keeps lesser tickets out until a slot is free.
+  /// Whether a refusal keeps less important tickets out until a slot is free.
   bool HoldsLevel = true;
 
   auto operator<=>(const admission_gate_settings &) const = default;
@@ -52,9 +52,11 @@
 /// by a later event, or removed by cancel(). A refused ticket was never run.
 ///
 /// Order: what waits starts strictly by rank. A full queue gives up the ticket
-/// of the last rank. After a refusal for load, a ticket of a later rank is
+/// of the last rank. After a refusal for load, less important tickets are
 /// refused too until a slot is free and nothing waits, so that no lesser
-/// request gets in after a greater one was refused.
+/// request gets in after a more important one was refused. Within one
+/// importance this does not hold: it would empty the queue, and the free slots
+/// would then go to whatever comes first.
 ///
 /// Free of I/O and threads; not copyable.
 class admission_gate {
@@ -109,9 +111,9 @@
   void start(const admission_ticket &Ticket, instant Now);
   void startWaiting(gate_actions &Actions, instant Now);
   void refuseHopeless(gate_actions &Actions, instant Now);
-  void holdLevel(const admission_rank &Refused);
+  void holdLevel(importance Refused);
   bool hasSlack() const;
-  bool isBelowLevel(const admission_rank &Rank) const;
+  bool isBelowLevel(importance Importance) const;
   bool canFinish(const admission_ticket &Ticket, std::size_t Before,
                  instant Now) const;
   duration timeNeeded() const;
@@ -123,8 +125,8 @@
   ticket_queue Queue;
   service_time ServiceTime;
   level_tracker Tracker;
-  /// The first rank refused for load since there was last a free slot.
-  std::optional<admission_rank> FirstRefused;
+  /// Of what was refused for load since there was last a free slot.
+  std::optional<importance> MostImportantRefused;
   bool Draining = false;
 };
 
--- a/modules/clementine_admission/gate/admission_ticket.h
+++ b/modules/clementine_admission/gate/admission_ticket.h
@@ -38,8 +38,8 @@
   QueueFull,
   /// It was queued, and a ticket that goes before it took its place.
   Displaced,
-  /// A ticket that goes before it was refused a moment ago, and there has been
-  /// no free slot since.
+  /// A more important ticket was refused a moment ago, and there has been no
+  /// free slot since.
   BelowLevel,
   /// Its deadline would have passed before the upstream could have answered.
   DeadlineTooClose,
--- a/modules/clementine_admission/limits/concurrency_limiter.h
+++ b/modules/clementine_admission/limits/concurrency_limiter.h
@@ -16,7 +16,7 @@
   duration OwnTime{0};
   /// How many attempts were running when it started, itself included.
   std::size_t InFlightAtStart = 0;
-  /// Whether the limit held back work when it ended.
+  /// Whether as many ran as the limit allows just before it ended.
   bool LimitReached = false;
 
   auto operator<=>(const load_sample &) const = default;
--- a/modules/clementine_admission/limits/learned_limiter.cpp
+++ b/modules/clementine_admission/limits/learned_limiter.cpp
@@ -14,8 +14,13 @@
 /// The start-up phase multiplies the limit by this each window.
 constexpr double StartUpGrowth = 2.0;
 
-/// How much of a lower latency the floor takes over in each window.
-constexpr double FloorFallShare = 0.5;
+/// How much of a lower latency the floor takes over in each window. A small
+/// share keeps it from sinking to the luckiest window.
+constexpr double FloorFallShare = 0.1;
+
+/// A latency below this factor of the floor is no luck: the upstream is faster.
+constexpr double FasterFactor = 0.75;
+constexpr double FasterFallShare = 0.5;
 
 /// A deadline is not a latency: an attempt that ran into it would have taken
 /// longer.
@@ -106,18 +111,25 @@
   if (Floor == 0)
     Floor = Latency;
   if (Latency < Floor)
-    Floor += (Latency - Floor) * FloorFallShare;
+    lowerFloor(Latency);
 
   if (Latency > Floor * Settings.Tolerance) {
     cut(Latency);
   } else {
     endExperiment();
+    // Between target and tolerance the knee is near: no more doubling.
+    SeenCongestion |= Latency > Floor * Settings.CutTarget;
     if (Window.LimitReached && !Window.Shed)
       grow();
   }
   openWindow(Now);
 }
 
+void learned_limiter::lowerFloor(double Latency) {
+  const bool IsFaster = Latency < Floor * FasterFactor;
+  Floor += (Latency - Floor) * (IsFaster ? FasterFallShare : FloorFallShare);
+}
+
 void learned_limiter::grow() {
   if (!SeenCongestion) {
     Limit = held(Limit * StartUpGrowth);
@@ -145,7 +157,8 @@
   ++Cuts;
   LatencyBeforeLastCut = Latency;
   LimitBeforeLastCut = Limit;
-  Limit = held(Limit * std::max(Settings.DeepestCut, Floor / Latency));
+  Limit = held(Limit * std::max(Settings.DeepestCut,
+                                Floor * Settings.CutTarget / Latency));
 }
 
 void learned_limiter::acceptFloor(double Latency) {
--- a/modules/clementine_admission/limits/learned_limiter.h
+++ b/modules/clementine_admission/limits/learned_limiter.h
@@ -14,7 +14,10 @@
   std::size_t LowestLimit = 2;
   std::size_t HighestLimit = 2000;
   /// Latency above the floor by more than this factor counts as congestion.
-  double Tolerance = 1.25;
+  double Tolerance = 1.5;
+  /// A cut aims at this factor above the floor: a short queue in the upstream
+  /// keeps its slots busy.
+  double CutTarget = 1.25;
   /// One window never lowers the limit by more than this factor.
   double DeepestCut = 0.7;
   /// A growth step never exceeds this share of the limit.
@@ -42,13 +45,14 @@
 /// uncongested floor raises the limit if the limit held work back: by doubling
 /// until the first congestion, then by steps that double up to a share of the
 /// limit. A congested window cuts the limit towards the point where the latency
-/// would be back at the floor.
+/// would be near the floor.
 ///
 /// A cut is also an experiment. Past the knee the latency of a queue is
 /// proportional to the concurrency (Little's law), so that a cut by a factor
 /// lowers it by the same factor. If it does not fall, the upstream is slower
 /// rather than congested: the latency becomes the new floor and the limit
-/// before the cuts comes back. A faster upstream lowers the floor at once.
+/// before the cuts comes back. A faster upstream lowers the floor at once, a
+/// slightly lower latency lowers it slowly.
 ///
 /// An answer by which the upstream sheds caps the limit below the concurrency
 /// at which it was sent.
@@ -83,6 +87,7 @@
   void learnLatency(const load_sample &Sample, instant Now);
   bool isWindowFull(instant Now) const;
   void closeWindow(instant Now);
+  void lowerFloor(double Latency);
   void grow();
   void cut(double Latency);
   void acceptFloor(double Latency);
