Probe all nodes at once before an experiment

Ruled out: fewer probes, which would let a node without members pass. Change: a thread for each node; the tool tells how far it has come. Conclusion: the start-up is bounded by the slowest node, not by their sum.

--- a/extras/clementine_load/main.cpp
+++ b/extras/clementine_load/main.cpp
@@ -7,6 +7,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
@@ -78,7 +79,23 @@
   return Keys;
 }
 
+/// Tells people how far the run has come.
+class progress_log {
+public:
+  void step(const std::string &What) const {
+    const std::chrono::duration<double> Elapsed =
+        std::chrono::steady_clock::now() - Begin;
+    std::cout << "load: " << std::fixed << std::setprecision(1)
+              << Elapsed.count() << " s: " << What << std::endl;
+  }
+
+private:
+  const std::chrono::steady_clock::time_point Begin =
+      std::chrono::steady_clock::now();
+};
+
 int runAll(const options &Options) {
+  const progress_log Progress;
   const auto Deployment =
       require(readDeployment(readFile(Options.Deployment)), Options.Deployment);
   const auto Scenario =
@@ -89,21 +106,26 @@
   runHook(Options.Prepare, {Work}, HookLog);
   running_deployment Running(Deployment, Options.Folders, readKeys(Work),
                              Scenario.Seed);
+  Progress.step("starting " + Deployment.Name);
   Running.startPlatform();
   Running.startInstances();
   runHook(Options.Accept,
           {Work, "http://" + Deployment.platformEndpoint().text(),
            Deployment.Bundle.Text},
           HookLog);
+  Progress.step("started; waiting until every operation is served");
   const std::string NotReady =
       Running.awaitReady(Scenario.Streams, ReadyPatience);
   if (!NotReady.empty()) {
     (void)Running.stop();
     throw start_error("not served in time: " + NotReady);
   }
+  Progress.step("every operation is served; the load begins");
   const auto Raw = runExperiment(Deployment, Scenario, Running);
+  Progress.step("the load has ended; stopping all processes");
   for (const std::string &Name : Running.stop())
     std::cout << "killed, because it had not ended in time: " << Name << '\n';
+  Progress.step("stopped; measuring");
   std::size_t Malformed = 0;
   const auto Runs = Running.readJournals(Malformed);
   const auto Result =
--- a/extras/clementine_load/run/running_deployment.cpp
+++ b/extras/clementine_load/run/running_deployment.cpp
@@ -118,16 +118,35 @@
 running_deployment::awaitReady(const std::vector<load_stream> &Streams,
                                duration Patience) {
   const instant End = std::chrono::steady_clock::now() + Patience;
-  for (const std::string &Entry : entries())
-    for (const load_stream &Stream : Streams) {
-      std::string Problem = probe(Entry, Stream);
-      while (!Problem.empty() && std::chrono::steady_clock::now() < End) {
-        std::this_thread::sleep_for(RetryPause);
-        Problem = probe(Entry, Stream);
-      }
-      if (!Problem.empty())
-        return Problem;
+  const auto Entries = entries();
+  std::vector<std::string> Problems(Entries.size());
+  std::vector<std::thread> Probers;
+  Probers.reserve(Entries.size());
+  for (std::size_t Index = 0; Index < Entries.size(); ++Index)
+    Probers.emplace_back([&, Index] {
+      Problems[Index] = awaitEntry(Entries[Index], Streams, End);
+    });
+  for (std::thread &Prober : Probers)
+    Prober.join();
+  for (const std::string &Problem : Problems)
+    if (!Problem.empty())
+      return Problem;
+  return {};
+}
+
+std::string
+running_deployment::awaitEntry(const std::string &Entry,
+                               const std::vector<load_stream> &Streams,
+                               instant End) {
+  for (const load_stream &Stream : Streams) {
+    std::string Problem = probe(Entry, Stream);
+    while (!Problem.empty() && std::chrono::steady_clock::now() < End) {
+      std::this_thread::sleep_for(RetryPause);
+      Problem = probe(Entry, Stream);
     }
+    if (!Problem.empty())
+      return Problem;
+  }
   return {};
 }
 
--- a/extras/clementine_load/run/running_deployment.h
+++ b/extras/clementine_load/run/running_deployment.h
@@ -7,6 +7,7 @@
 #include "clementine_load/run/process_group.h"
 #include "stand_in_http/http_client.h"
 
+#include <atomic>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -69,6 +70,9 @@
   std::vector<std::string> entries() const;
 
 private:
+  std::string awaitEntry(const std::string &Entry,
+                         const std::vector<load_stream> &Streams, instant End);
+
   /// Makes one call.
   /// @returns an empty text if it was served whole, or what was wrong.
   std::string probe(const std::string &Entry, const load_stream &Stream);
@@ -88,7 +92,7 @@
   const std::vector<instance_description> Instances;
   stand_in::http_client Client;
   process_group Processes;
-  std::uint64_t Probes = 0;
+  std::atomic<std::uint64_t> Probes{0};
 };
 
 } // namespace clementine::load
