--- a/extras/clementine_load/main.cpp
+++ b/extras/clementine_load/main.cpp
@@ -111,7 +111,9 @@
   Running.startInstances();
   runHook(Options.Accept,
           {Work, "http://" + Deployment.platformEndpoint().text(),
-           Deployment.Bundle.Text},
+           (std::filesystem::path(Options.Deployment).parent_path() /
+            Deployment.Bundle.Text)
+               .string()},
           HookLog);
   Progress.step("started; waiting until every operation is served");
   const std::string NotReady =
