Let a client that was told "not run" send first again

Cause: each re-send said "again", also after a certified "not run", so a non-repeatable request could only be looked up and ended as "unknown". Ruled out: saying "first" after an unknown or broken send, which could run it twice; the test asserts "again" for these, now with an unknown first send. Change: a send says "again" if any earlier one may have run or may still run; a row for each send in -sends.csv, to see which requests failed and why.

--- a/extras/clementine_load/decisions/resend_policy.cpp
+++ b/extras/clementine_load/decisions/resend_policy.cpp
@@ -52,7 +52,11 @@
 }
 
 bool resend_policy::isAgain(const request_record &Request) {
-  return countUnsent(Request) < Request.Sends.size();
+  return std::any_of(Request.Sends.begin(), Request.Sends.end(),
+                     [](const send_record &Send) {
+                       return Send.Outcome != send_outcome::Unsent &&
+                              Send.Outcome != send_outcome::NotRun;
+                     });
 }
 
 } // namespace clementine::load
--- a/extras/clementine_load/decisions/resend_policy.h
+++ b/extras/clementine_load/decisions/resend_policy.h
@@ -19,8 +19,8 @@
   std::optional<instant> decide(const request_record &Request, instant Now,
                                 random_source &Random) const;
 
-  /// @returns whether the next send has to say `again`: something sent before
-  /// may have reached a node.
+  /// @returns whether the next send has to say `again`: an earlier one may have
+  /// run or may still run. One that was told "not run" certainly does neither.
   static bool isAgain(const request_record &Request);
 
 private:
--- a/extras/clementine_load/main.cpp
+++ b/extras/clementine_load/main.cpp
@@ -136,8 +136,11 @@
   if (Malformed > 0)
     std::cout << "journal lines not understood            " << Malformed
               << '\n';
-  if (!Options.Report.empty())
+  if (!Options.Report.empty()) {
     writeReports(Options.Report, Scenario, Result);
+    std::ofstream(Options.Report + "-sends.csv")
+        << formatSends(Scenario, Raw.Begin, Raw.Requests);
+  }
   return Result.isTruthful() ? 0 : ExitUntruthful;
 }
 
@@ -161,7 +164,8 @@
                                     "folder for settings, logs and journals",
                                     false, "build/run", "FOLDER");
   TCLAP::ValueArg<std::string> Report(
-      "", "report", "writes FILE.txt, .json, .csv and .svg", false, "", "FILE");
+      "", "report", "writes FILE.txt, .json, .csv, .svg and -sends.csv", false,
+      "", "FILE");
   TCLAP::ValueArg<std::string> Prepare(
       "", "prepare", "run first, with the work folder", false, "", "PROGRAM");
   TCLAP::ValueArg<std::string> Accept(
--- a/extras/clementine_load/output/report.cpp
+++ b/extras/clementine_load/output/report.cpp
@@ -229,6 +229,25 @@
   return Text.str();
 }
 
+std::string formatSends(const scenario &Scenario, instant Begin,
+                        const std::vector<request_record> &Requests) {
+  std::ostringstream Text;
+  Text << "nonce,operation,importance,arrived_s,send,sent_s,ended_s,outcome\n";
+  for (const request_record &Request : Requests) {
+    const load_stream &Stream = Scenario.Streams[Request.Stream];
+    for (std::size_t Index = 0; Index < Request.Sends.size(); ++Index) {
+      const send_record &Send = Request.Sends[Index];
+      Text << Request.Nonce << ',' << Stream.Target.text() << ','
+           << importanceName(Stream.Level) << ','
+           << decimal(seconds(Request.Arrived - Begin), 3) << ',' << Index + 1
+           << ',' << decimal(seconds(Send.Sent - Begin), 3) << ','
+           << decimal(seconds(Send.Ended - Begin), 3) << ','
+           << OutcomeNames.at(static_cast<std::size_t>(Send.Outcome)) << '\n';
+    }
+  }
+  return Text.str();
+}
+
 std::string formatSvg(const scenario &Scenario, const measurement &Result) {
   const plot_area Area = areaFor(Scenario, Result);
   std::ostringstream Svg;
--- a/tests/load/test_load_client.cpp
+++ b/tests/load/test_load_client.cpp
@@ -83,14 +83,14 @@
   scripted_node Node([](const http_request &Request, int Number) {
     if (Number == 1)
       return http_answer{
-          503, "", {{"Clementine-Outcome", "not-run"}}, {}, false};
+          504, "", {{"Clementine-Outcome", "unknown"}}, {}, false};
     return wholeAnswer(Request.Body);
   });
   const auto Records = runAgainst(NodeUrl, resend_kind::Hard);
   REQUIRE(Records.size() == 3);
   for (const request_record &Record : Records) {
     REQUIRE(Record.Sends.size() == 2);
-    CHECK(Record.Sends[0].Outcome == send_outcome::NotRun);
+    CHECK(Record.Sends[0].Outcome == send_outcome::Unknown);
     CHECK(Record.isWhole());
   }
   CHECK(Node.Seen.size() == 6);
--- a/tests/load/test_measure.cpp
+++ b/tests/load/test_measure.cpp
@@ -102,7 +102,9 @@
   CHECK(Next({Unsent}, Begin));
   CHECK_FALSE(Next({Unsent, Unsent, Unsent, Unsent, Unsent}, Begin));
   CHECK_FALSE(resend_policy::isAgain(requestAt(0s, "n", {Unsent})));
+  CHECK_FALSE(resend_policy::isAgain(requestAt(0s, "n", {Unsent, NotRun})));
   CHECK(resend_policy::isAgain(requestAt(0s, "n", {Unsent, Broken})));
+  CHECK(resend_policy::isAgain(requestAt(0s, "n", {Unknown, NotRun})));
 }
 
 TEST_CASE("only an answer with every part and the own nonce is whole") {
