Fuzz targets for the decoders; names with the caps of membership

Cause: decoders of settings, headers, bundles, frames and datagrams take bytes of any origin; a data centre's name of 40 characters passed the settings and would then be refused by membership; the bundle allows upper-case owners.

--- /dev/null
+++ b/extras/fuzz/fuzz_settings.cpp
@@ -0,0 +1,20 @@
+/// Settings of any bytes are either read or refused with a reason for each
+/// fault.
+#include "fuzz_input.h"
+
+#include "clementine_settings/clementine_settings.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  using namespace clementine;
+  const auto Settings = readSettings(textOf(Data, Size), "fuzz.ini");
+  if (Settings) {
+    require(!Settings.value().Name.empty());
+    require(!Settings.value().PeerKeys.empty());
+    return 0;
+  }
+  require(!Settings.error().Errors.empty());
+  for (const settings_error &Error : Settings.error().Errors)
+    require(!Error.Allowed.empty() && !Error.text().empty());
+  return 0;
+}
--- /dev/null
+++ b/extras/fuzz/fuzz_traceparent.cpp
@@ -0,0 +1,15 @@
+/// A trace context that is read survives its own header.
+#include "fuzz_input.h"
+
+#include "clementine_telemetry/spans/trace_context.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  using namespace clementine;
+  const auto Context = parseTraceparent(textOf(Data, Size));
+  if (!Context)
+    return 0;
+  require(Context->Span.Value != 0);
+  require(parseTraceparent(formatTraceparent(*Context)) == Context);
+  return 0;
+}
--- a/modules/clementine_settings/node/settings_reader.cpp
+++ b/modules/clementine_settings/node/settings_reader.cpp
@@ -84,6 +84,11 @@
          (!Highest || magnitude(Candidate) <= magnitude(*Highest));
 }
 
+bool isInRange(const std::string &Name, const setting &Setting) {
+  const auto Highest = value_format<std::uint64_t>::parse(Setting.Highest);
+  return !Highest || Name.size() <= *Highest;
+}
+
 template <class Value>
 bool isInRange(const std::vector<Value> &List, const setting &Setting) {
   const auto Highest = value_format<std::uint64_t>::parse(Setting.Highest);
--- a/modules/clementine_settings/node/settings_table.cpp
+++ b/modules/clementine_settings/node/settings_table.cpp
@@ -3,6 +3,7 @@
 #include "clementine_settings/values/value_format.h"
 
 #include <array>
+#include <type_traits>
 
 namespace clementine {
 
@@ -12,10 +13,10 @@
 using enum setting_presence;
 
 constexpr auto Table = std::to_array<setting>({
-    {"node", "name", &settings::Name, Required, "", "", "",
+    {"node", "name", &settings::Name, Required, "", "", "64",
      "The name of the VM's slot. It outlives restarts and is unique in the "
      "whole system."},
-    {"node", "data_centre", &settings::DataCentre, Required, "", "", "",
+    {"node", "data_centre", &settings::DataCentre, Required, "", "", "32",
      "The data centre in which the VM stands."},
     {"node", "http_listen", &settings::HttpListen, Required, "", "", "",
      "Where callers and the upstream's own sub-calls reach the node (HTTP)."},
@@ -27,7 +28,7 @@
      "Where operators reach the status page, the metrics and the JSON views "
      "(HTTP)."},
 
-    {"upstream", "service", &settings::UpstreamService, Required, "", "", "",
+    {"upstream", "service", &settings::UpstreamService, Required, "", "", "48",
      "The service that the upstream beside the node belongs to."},
     {"upstream", "address", &settings::UpstreamAddress, Optional, "", "", "",
      "Where the upstream listens (HTTP). Without it the node waits until the "
@@ -120,6 +121,8 @@
            " elements with commas between them, each " + Form;
   if (Highest.empty())
     return Form;
+  if constexpr (std::is_same_v<Value, std::string>)
+    return Form + ", at most " + Highest + " characters";
   return Form + ", from " + std::string(Setting.Lowest) + " to " + Highest;
 }
 
--- a/modules/clementine_settings/node/settings_table.h
+++ b/modules/clementine_settings/node/settings_table.h
@@ -46,7 +46,8 @@
   /// The smallest value, written as in the file; empty for no bound.
   std::string_view Lowest = {};
   /// The largest value, written as in the file; empty for no bound. For a list
-  /// the largest number of elements; empty for MostListElements.
+  /// the largest number of elements (empty for MostListElements), for a name
+  /// the largest number of characters.
   std::string_view Highest = {};
   std::string_view Description = {};
   setting_secrecy Secrecy = setting_secrecy::Public;
--- a/modules/clementine_settings/values/value_format.cpp
+++ b/modules/clementine_settings/values/value_format.cpp
@@ -21,13 +21,14 @@
 
 bool isDigit(char Character) { return Character >= '0' && Character <= '9'; }
 
-bool isLowerCaseLetter(char Character) {
-  return Character >= 'a' && Character <= 'z';
+bool isLetter(char Character) {
+  return (Character >= 'a' && Character <= 'z') ||
+         (Character >= 'A' && Character <= 'Z');
 }
 
 bool isNameCharacter(char Character) {
-  return isLowerCaseLetter(Character) || isDigit(Character) ||
-         Character == '-' || Character == '_' || Character == '.';
+  return isLetter(Character) || isDigit(Character) || Character == '-' ||
+         Character == '_' || Character == '.';
 }
 
 bool isPrintable(char Character) { return Character > ' ' && Character < 127; }
@@ -139,7 +140,7 @@
 value_format<std::string>::parse(std::string_view Text) {
   if (Text.empty() || Text.size() > LongestName)
     return std::nullopt;
-  if (!isLowerCaseLetter(Text.front()) && !isDigit(Text.front()))
+  if (!isLetter(Text.front()) && !isDigit(Text.front()))
     return std::nullopt;
   if (!std::all_of(Text.begin(), Text.end(), isNameCharacter))
     return std::nullopt;
--- a/modules/clementine_settings/values/value_format.h
+++ b/modules/clementine_settings/values/value_format.h
@@ -21,12 +21,12 @@
 /// `parse`, which returns nothing for any other text.
 template <class Value> struct value_format;
 
-/// A name: 1 to 64 lower-case letters, digits, `-`, `_` and `.`, beginning with
-/// a letter or a digit.
+/// A name as in the bundle: 1 to 64 letters, digits, `-`, `_` and `.`,
+/// beginning with a letter or a digit.
 template <> struct value_format<std::string> {
   static constexpr std::string_view Form =
-      "a name of 1 to 64 characters from a-z, 0-9, '-', '_' and '.', beginning "
-      "with a letter or a digit";
+      "a name of letters a-z and A-Z, digits, '-', '_' and '.', beginning with "
+      "a letter or a digit";
   static std::optional<std::string> parse(std::string_view Text);
 };
 
