Admin: gauges of the node's status for alarms

Cause: alarms need the bundle's version and age, members by state and the state of the own upstream as metrics, not only as JSON. Ruled out: setting gauges in the engine's thread (the numbers are in the status already, so that the request of the scraper brings them up to date). Change: status_metrics; admin_handler updates it on each /metrics, so that it now takes the registry by a reference that is not const.

--- a/modules/clementine_admin/clementine_admin.h
+++ b/modules/clementine_admin/clementine_admin.h
@@ -11,6 +11,7 @@
 #include "clementine_admin/status/admin_source.h"
 #include "clementine_admin/status/node_status.h"
 #include "clementine_admin/views/status_json.h"
+#include "clementine_admin/views/status_metrics.h"
 #include "clementine_admin/views/status_page.h"
 
 #endif
--- a/modules/clementine_admin/server/admin_handler.cpp
+++ b/modules/clementine_admin/server/admin_handler.cpp
@@ -75,9 +75,12 @@
     return notFound();
   if (Request.Method != "GET" && Request.Method != "HEAD")
     return methodNotAllowed();
-  if (Found == Views.end())
-    return answer(StatusOk, PrometheusText, Metrics.prometheusText());
   const auto Status = Source.status();
+  if (Found == Views.end()) {
+    if (Status != nullptr)
+      Gauges.update(*Status);
+    return answer(StatusOk, PrometheusText, Metrics.prometheusText());
+  }
   if (Status == nullptr)
     return noStatus();
   return answer(StatusOk, Found->ContentType, Found->Write(*Status));
--- a/modules/clementine_admin/server/admin_handler.h
+++ b/modules/clementine_admin/server/admin_handler.h
@@ -2,6 +2,7 @@
 #define CLEMENTINE_ADMIN_SERVER_ADMIN_HANDLER_H
 
 #include "clementine_admin/status/admin_source.h"
+#include "clementine_admin/views/status_metrics.h"
 #include "clementine_http/server/http_server.h"
 #include "clementine_telemetry/metrics/metrics_registry.h"
 
@@ -10,13 +11,14 @@
 /// Answers the operators' requests: GET (or HEAD) of `/status`, `/metrics`,
 /// `/v1/bundle`, `/v1/nodes`, `/v1/upstreams` and `/v1/callers`.
 ///
-/// Another path gets 404 with the list of paths, another method 405, and a view
-/// of a node that has no status yet 503.
+/// The metrics hold the gauges of status_metrics, brought up to date by each
+/// request. Another path gets 404 with the list of paths, another method 405,
+/// and a view of a node that has no status yet 503.
 class admin_handler final : public http_handler {
 public:
   /// @param Source and @p Metrics have to outlive the handler.
-  admin_handler(const admin_source &Source, const metrics_registry &Metrics)
-      : Source(Source), Metrics(Metrics) {}
+  admin_handler(const admin_source &Source, metrics_registry &Metrics)
+      : Source(Source), Metrics(Metrics), Gauges(Metrics) {}
 
   admin_handler(const admin_handler &) = delete;
   admin_handler &operator=(const admin_handler &) = delete;
@@ -25,7 +27,8 @@
 
 private:
   const admin_source &Source;
-  const metrics_registry &Metrics;
+  metrics_registry &Metrics;
+  status_metrics Gauges;
 };
 
 } // namespace clementine
--- a/modules/clementine_admin/server/admin_server.cpp
+++ b/modules/clementine_admin/server/admin_server.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 admin_server::admin_server(const endpoint &Listen, const admin_source &Source,
-                           const metrics_registry &Metrics)
+                           metrics_registry &Metrics)
     : Handler(Source, Metrics), Server("admin", settingsFor(Listen), Handler) {}
 
 } // namespace clementine
--- a/modules/clementine_admin/server/admin_server.h
+++ b/modules/clementine_admin/server/admin_server.h
@@ -18,7 +18,7 @@
 
   /// @param Source and @p Metrics have to outlive the server.
   admin_server(const endpoint &Listen, const admin_source &Source,
-               const metrics_registry &Metrics);
+               metrics_registry &Metrics);
 
   admin_server(const admin_server &) = delete;
   admin_server &operator=(const admin_server &) = delete;
--- a/tests/admin/test_admin.cpp
+++ b/tests/admin/test_admin.cpp
@@ -111,6 +111,30 @@
   CHECK(Caller["now"]["cost_per_second"] == 25.0);
 }
 
+TEST_CASE_FIXTURE(fixture, "the metrics follow the status") {
+  auto Status = sampleStatus();
+  Snapshot.publish(Status);
+  const auto Shows = [this](const std::string &Line) {
+    return ask("/metrics", "GET").Body.find("\n" + Line + "\n") !=
+           std::string::npos;
+  };
+  for (const std::string Line :
+       {"clementine_bundle_version 12",
+        "clementine_bundle_confirmed_age_seconds 2",
+        "clementine_members{state=\"leaving\"} 1",
+        "clementine_members{state=\"alive\"} 0", "clementine_upstream_limit 40",
+        "clementine_upstream_queued 5", "clementine_admission_level 100",
+        "clementine_stopping 0"})
+    CHECK_MESSAGE(Shows(Line), Line);
+  Status.Bundle.reset();
+  Status.Upstreams[0].Limit.reset();
+  Snapshot.publish(Status);
+  for (const std::string Line : {"clementine_bundle_version 0",
+                                 "clementine_bundle_confirmed_age_seconds +Inf",
+                                 "clementine_upstream_limit +Inf"})
+    CHECK_MESSAGE(Shows(Line), Line);
+}
+
 TEST_CASE_FIXTURE(fixture,
                   "a node without a bundle shows null, not version 0") {
   auto Status = sampleStatus();
