Settings: what the modules can act on

Cause: suspicion was a duration and queue_length a count, but membership takes a multiplier and the gate a share of its slots; poll had no reader, since nodes watch the platform; 2000B a second of gossip would alone take the whole budget for both directions, where membership's own default is 900B. Ruled out: settings that are read and have no effect. Change: suspicion is a factor (2), queue_per_slot (1) takes the place of queue_length, poll is gone, bytes_per_second defaults to 900B.

--- a/modules/clementine_settings/node/node_settings.h
+++ b/modules/clementine_settings/node/node_settings.h
@@ -34,13 +34,12 @@
 
   /// @name [platform]
   std::optional<http_url> PlatformUrl;
-  duration PlatformPoll{};
   duration PlatformTimeout{};
 
   /// @name [membership]
   std::vector<endpoint> Seeds;
   duration ProbeInterval{};
-  duration SuspicionTimeout{};
+  factor SuspicionMultiplier;
   byte_count GossipBytesPerSecond;
 
   /// @name [bundle]
@@ -54,7 +53,7 @@
   limiter_kind Limiter = limiter_kind::Learned;
   std::uint64_t StaticLimit = 0;
   std::uint64_t InitialLimit = 0;
-  std::uint64_t QueueLength = 0;
+  factor QueuePerSlot;
 
   /// @name [retries]
   fraction RetryShare;
--- a/modules/clementine_settings/node/settings_reader.cpp
+++ b/modules/clementine_settings/node/settings_reader.cpp
@@ -68,6 +68,7 @@
 
 std::uint64_t magnitude(std::uint64_t Number) { return Number; }
 double magnitude(fraction Share) { return Share.Value; }
+double magnitude(factor Factor) { return Factor.Value; }
 std::int64_t magnitude(duration Span) { return Span.count(); }
 std::uint64_t magnitude(byte_count Size) { return Size.Bytes; }
 
@@ -161,7 +162,6 @@
     if (!Errors.empty())
       return;
     checkListeners();
-    checkSuspicion();
     checkNames("bundle", "trusted_keys", Settings.TrustedKeys);
     checkNames("security", "peer_keys", Settings.PeerKeys);
   }
@@ -243,14 +243,6 @@
     }
   }
 
-  void checkSuspicion() {
-    if (Settings.SuspicionTimeout > Settings.ProbeInterval)
-      return;
-    const setting *Suspicion = findSetting("membership", "suspicion");
-    conflict("membership", "suspicion", Assigned.at(Suspicion).Text,
-             "a duration longer than probe_interval");
-  }
-
   void checkNames(std::string_view Section, std::string_view Key,
                   const std::vector<named_key> &Keys) {
     std::set<std::string_view> Names;
--- a/modules/clementine_settings/node/settings_table.cpp
+++ b/modules/clementine_settings/node/settings_table.cpp
@@ -40,8 +40,6 @@
     {"platform", "url", &settings::PlatformUrl, Optional, "", "", "",
      "The platform's key-value service. Without it the node learns bundles "
      "and members from its peers only."},
-    {"platform", "poll", &settings::PlatformPoll, Defaulted, "2s", "100ms",
-     "10min", "The wait between two looks at the platform."},
     {"platform", "timeout", &settings::PlatformTimeout, Defaulted, "2s", "10ms",
      "1min", "How long the node waits for one answer of the platform."},
 
@@ -50,13 +48,14 @@
      "between them."},
     {"membership", "probe_interval", &settings::ProbeInterval, Defaulted, "1s",
      "50ms", "1min", "The time between two probes that the node sends."},
-    {"membership", "suspicion", &settings::SuspicionTimeout, Defaulted, "3s",
-     "100ms", "10min",
-     "How long a silent member stays suspected before it counts as failed. "
-     "Longer than probe_interval."},
+    {"membership", "suspicion", &settings::SuspicionMultiplier, Defaulted, "2",
+     "1", "10",
+     "How long a silent member may refute before it counts as failed: probe "
+     "intervals for each power of ten of the number of members."},
     {"membership", "bytes_per_second", &settings::GossipBytesPerSecond,
-     Defaulted, "2000B", "200B", "1MiB",
-     "The most that membership sends in a second."},
+     Defaulted, "900B", "200B", "1MiB",
+     "The most that gossip sends in a second over a long time, headers of IP "
+     "and UDP included."},
 
     {"bundle", "trusted_keys", &settings::TrustedKeys, Optional, "", "", "",
      "The owners whose signatures the node accepts on a bundle, each with an "
@@ -76,8 +75,10 @@
      "100000", "The concurrency limit when limiter is static."},
     {"admission", "initial_limit", &settings::InitialLimit, Defaulted, "20",
      "1", "100000", "The first concurrency limit when limiter is learned."},
-    {"admission", "queue_length", &settings::QueueLength, Defaulted, "64", "0",
-     "100000", "The most requests that wait in the node for the upstream."},
+    {"admission", "queue_per_slot", &settings::QueuePerSlot, Defaulted, "1",
+     "0", "10",
+     "How many requests may wait in the node for each slot of the concurrency "
+     "limit."},
 
     {"retries", "share", &settings::RetryShare, Defaulted, "0.1", "0", "1",
      "The most retries to a service, as a share of its first attempts."},
--- a/modules/clementine_settings/values/setting_values.h
+++ b/modules/clementine_settings/values/setting_values.h
@@ -22,6 +22,13 @@
   bool operator==(const fraction &) const = default;
 };
 
+/// A number that another one is multiplied by.
+struct factor {
+  double Value = 0;
+
+  bool operator==(const factor &) const = default;
+};
+
 /// The address of an HTTP service: scheme, host, port and base path.
 struct http_url {
   std::string Text;
--- a/modules/clementine_settings/values/value_format.cpp
+++ b/modules/clementine_settings/values/value_format.cpp
@@ -33,6 +33,22 @@
 
 bool isPrintable(char Character) { return Character > ' ' && Character < 127; }
 
+/// Reads digits with a point; no sign, exponent, infinity or NaN.
+std::optional<double> parseDecimal(std::string_view Text) {
+  const bool OnlyDecimals =
+      std::all_of(Text.begin(), Text.end(), [](char Character) {
+        return isDigit(Character) || Character == '.';
+      });
+  if (!OnlyDecimals)
+    return std::nullopt;
+  double Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Number;
+}
+
 struct unit {
   std::string_view Name;
   std::uint64_t Factor;
@@ -158,18 +174,17 @@
 }
 
 std::optional<fraction> value_format<fraction>::parse(std::string_view Text) {
-  const bool OnlyDecimals =
-      std::all_of(Text.begin(), Text.end(), [](char Character) {
-        return isDigit(Character) || Character == '.';
-      });
-  if (!OnlyDecimals)
+  const auto Number = parseDecimal(Text);
+  if (!Number)
     return std::nullopt;
-  double Number = 0;
-  const char *End = Text.data() + Text.size();
-  const auto Parsed = std::from_chars(Text.data(), End, Number);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+  return fraction{*Number};
+}
+
+std::optional<factor> value_format<factor>::parse(std::string_view Text) {
+  const auto Number = parseDecimal(Text);
+  if (!Number)
     return std::nullopt;
-  return fraction{Number};
+  return factor{*Number};
 }
 
 std::optional<duration> value_format<duration>::parse(std::string_view Text) {
--- a/modules/clementine_settings/values/value_format.h
+++ b/modules/clementine_settings/values/value_format.h
@@ -42,6 +42,12 @@
   static std::optional<fraction> parse(std::string_view Text);
 };
 
+/// A decimal number such as `1.5`.
+template <> struct value_format<factor> {
+  static constexpr std::string_view Form = value_format<fraction>::Form;
+  static std::optional<factor> parse(std::string_view Text);
+};
+
 /// A whole number with its unit, such as `250ms`.
 template <> struct value_format<duration> {
   static constexpr std::string_view Form =
