--- /dev/null
+++ b/extras/fuzz/fuzz_platform_answer.cpp
@@ -0,0 +1,26 @@
+/// Answers of the platform of any bytes are decoded or refused; what is decoded
+/// survives its own encoding.
+#include "fuzz_input.h"
+
+#include "clementine_platform/etcd/etcd_codec.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  using namespace clementine;
+  const std::string_view Text = textOf(Data, Size);
+  const auto Range = etcd::decodeRange(Text);
+  if (Range)
+    require(etcd::decodeRange(etcd::encodeRange(Range.value())).value() ==
+            Range.value());
+  const auto Lease = etcd::decodeLease(Text);
+  if (Lease)
+    require(etcd::decodeLease(etcd::encodeLease(Lease.value())).value() ==
+            Lease.value());
+  const auto Watched = etcd::decodeWatchMessage(Text);
+  if (Watched)
+    require(etcd::decodeWatchMessage(etcd::encodeWatchMessage(Watched.value()))
+                .has_value());
+  (void)etcd::decodeCommit(Text);
+  (void)etcd::decodeKeptLease(Text);
+  return 0;
+}
