--- a/modules/clementine_settings/node/settings_table.h
+++ b/modules/clementine_settings/node/settings_table.h
@@ -17,7 +17,8 @@
                  std::optional<endpoint> node_settings::*,
                  std::vector<endpoint> node_settings::*,
                  std::uint64_t node_settings::*, fraction node_settings::*,
-                 duration node_settings::*, byte_count node_settings::*,
+                 factor node_settings::*, duration node_settings::*,
+                 byte_count node_settings::*,
                  std::optional<http_url> node_settings::*,
                  std::optional<file_path> node_settings::*,
                  std::vector<named_key> node_settings::*,
@@ -46,7 +47,8 @@
   /// The smallest value, written as in the file; empty for no bound.
   std::string_view Lowest = {};
   /// The largest value, written as in the file; empty for no bound. For a list
-  /// the largest number of elements; empty for MostListElements.
+  /// the largest number of elements (empty for MostListElements), for a name
+  /// the largest number of characters.
   std::string_view Highest = {};
   std::string_view Description = {};
   setting_secrecy Secrecy = setting_secrecy::Public;
--- a/modules/clementine_settings/values/value_format.cpp
+++ b/modules/clementine_settings/values/value_format.cpp
@@ -21,17 +21,34 @@
 
 bool isDigit(char Character) { return Character >= '0' && Character <= '9'; }
 
-bool isLowerCaseLetter(char Character) {
-  return Character >= 'a' && Character <= 'z';
+bool isLetter(char Character) {
+  return (Character >= 'a' && Character <= 'z') ||
+         (Character >= 'A' && Character <= 'Z');
 }
 
 bool isNameCharacter(char Character) {
-  return isLowerCaseLetter(Character) || isDigit(Character) ||
-         Character == '-' || Character == '_' || Character == '.';
+  return isLetter(Character) || isDigit(Character) || Character == '-' ||
+         Character == '_' || Character == '.';
 }
 
 bool isPrintable(char Character) { return Character > ' ' && Character < 127; }
 
+/// Reads digits with a point; no sign, exponent, infinity or NaN.
+std::optional<double> parseDecimal(std::string_view Text) {
+  const bool OnlyDecimals =
+      std::all_of(Text.begin(), Text.end(), [](char Character) {
+        return isDigit(Character) || Character == '.';
+      });
+  if (!OnlyDecimals)
+    return std::nullopt;
+  double Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Number;
+}
+
 struct unit {
   std::string_view Name;
   std::uint64_t Factor;
@@ -139,7 +156,7 @@
 value_format<std::string>::parse(std::string_view Text) {
   if (Text.empty() || Text.size() > LongestName)
     return std::nullopt;
-  if (!isLowerCaseLetter(Text.front()) && !isDigit(Text.front()))
+  if (!isLetter(Text.front()) && !isDigit(Text.front()))
     return std::nullopt;
   if (!std::all_of(Text.begin(), Text.end(), isNameCharacter))
     return std::nullopt;
@@ -157,18 +174,17 @@
 }
 
 std::optional<fraction> value_format<fraction>::parse(std::string_view Text) {
-  const bool OnlyDecimals =
-      std::all_of(Text.begin(), Text.end(), [](char Character) {
-        return isDigit(Character) || Character == '.';
-      });
-  if (!OnlyDecimals)
+  const auto Number = parseDecimal(Text);
+  if (!Number)
     return std::nullopt;
-  double Number = 0;
-  const char *End = Text.data() + Text.size();
-  const auto Parsed = std::from_chars(Text.data(), End, Number);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+  return fraction{*Number};
+}
+
+std::optional<factor> value_format<factor>::parse(std::string_view Text) {
+  const auto Number = parseDecimal(Text);
+  if (!Number)
     return std::nullopt;
-  return fraction{Number};
+  return factor{*Number};
 }
 
 std::optional<duration> value_format<duration>::parse(std::string_view Text) {
