Settings: the name of a shared secret has the cap of the key ring

Cause: a name of 33 to 64 characters passed the settings, and the key ring then refused it at the start, with exit code 1 and no line of the file. Ruled out: capping all key names, since owners may have 64 characters. Change: a rule between the settings and the ring's cap, with its line. Conclusion: what the settings accept, the node's start accepts.

--- a/modules/clementine_settings/node/settings_reader.cpp
+++ b/modules/clementine_settings/node/settings_reader.cpp
@@ -19,6 +19,9 @@
 /// The most characters of a value that an error shows.
 constexpr std::size_t LongestShownValue = 120;
 
+/// The most characters that the key ring allows in a secret's name.
+constexpr std::size_t LongestPeerKeyName = 32;
+
 constexpr std::string_view HiddenValue = "(hidden)";
 
 constexpr std::string_view LineForm =
@@ -164,6 +167,7 @@
     checkListeners();
     checkNames("bundle", "trusted_keys", Settings.TrustedKeys);
     checkNames("security", "peer_keys", Settings.PeerKeys);
+    checkPeerKeyNames();
   }
 
   result<node_settings, settings_errors> finish() {
@@ -251,6 +255,14 @@
         conflict(Section, Key, Named.Name, "each name once");
   }
 
+  void checkPeerKeyNames() {
+    for (const named_key &Key : Settings.PeerKeys)
+      if (Key.Name.size() > LongestPeerKeyName)
+        conflict("security", "peer_keys", Key.Name,
+                 "names of at most " + std::to_string(LongestPeerKeyName) +
+                     " characters");
+  }
+
   void conflict(std::string_view Section, std::string_view Key,
                 std::string_view Value, std::string Allowed) {
     const setting *Setting = findSetting(Section, Key);
--- a/tests/settings/test_settings_reader.cpp
+++ b/tests/settings/test_settings_reader.cpp
@@ -209,6 +209,17 @@
   }
 }
 
+TEST_CASE("the name of a shared secret has the cap of the key ring") {
+  std::string Text = Minimal;
+  Text.replace(Text.find("k1:"), 2, std::string(32, 'k'));
+  CHECK(errorsOf(Text).empty());
+  Text.insert(Text.find("kkk"), "k");
+  const auto Error = onlyErrorOf(Text);
+  CHECK(Error.Fault == settings_fault::Conflict);
+  CHECK(Error.Key == "peer_keys");
+  CHECK(Error.Line == 9);
+}
+
 TEST_CASE("two TCP listeners on one address are a conflict") {
   std::string Text = Minimal;
   Text.replace(Text.find("8003"), 4, "8000");
