--- a/modules/clementine_membership/failure/failure_detector.cpp
+++ b/modules/clementine_membership/failure/failure_detector.cpp
@@ -275,8 +275,10 @@
 }
 
 instant failure_detector::suspicionEnd(const member_entry &Entry) const {
+  // A node that hears little has to probe enough others before it judges.
   return Entry.SuspectSince +
-         suspicionTimeout(Settings, Table.liveCount(), Entry.Accusers.size());
+         Health.stretch(suspicionTimeout(Settings, Table.liveCount(),
+                                         Entry.Accusers.size()));
 }
 
 bool failure_detector::mostAreSilent(instant Now) {
--- a/modules/clementine_membership/node/membership.cpp
+++ b/modules/clementine_membership/node/membership.cpp
@@ -11,8 +11,7 @@
 /// The first wait between two attempts to join, and the most doublings of it.
 constexpr duration JoinInterval = std::chrono::seconds(1);
 constexpr unsigned MostJoinDoublings = 4;
-/// How many seeds are asked at an attempt.
-constexpr std::size_t SeedsAtOnce = 3;
+
 /// The most seeds that are held.
 constexpr std::size_t MostSeeds = 64;
 /// A tick that comes so much too late shows that the node was paused.
@@ -29,8 +28,7 @@
 /// How many nodes in a data centre probe each dead member, or seeds, in each
 /// reconnect interval.
 constexpr std::size_t ReconnectingNodes = 4;
-/// How often a node without peers looks whether it can ask for contacts.
-constexpr duration ContactRetry = std::chrono::seconds(1);
+
 /// The first incarnation after @p Heard.
 constexpr std::uint64_t above(std::uint64_t Heard) { return Heard + 1; }
 
@@ -225,6 +223,7 @@
   hearBundle(From, Message);
   const bool IsLocal = Message.DataCentre == Outbox.Header.DataCentre;
   if (Message.Kind == message_kind::Query) {
+    Directory.addContact({Message.DataCentreName, From}, Now);
     Server.answer(From, Message, Now);
     return;
   }
@@ -246,10 +245,12 @@
 void membership::handleLocal(const endpoint &From,
                              const gossip_message &Message, instant Now) {
   const bool Met = Table.find(Message.Sender) == nullptr;
-  const std::size_t Unknown = Spread.receive(Message, Now);
+  const std::vector<member_key> Unknown = Spread.receive(Message, Now);
   Table.noteLevel(Message.Sender, Message.AdmissionLevel);
   if (Message.Kind == message_kind::SyncClaims)
-    Sync.learnt(Unknown, Now);
+    Sync.learnt(Unknown.size(), Now);
+  else
+    Sync.welcome(Unknown, Now);
   if (Met)
     Sync.met(From, Now);
   Detector.receive(From, Message, Now);
@@ -336,8 +337,7 @@
     NextJoin = instant::max();
     return;
   }
-  for (std::size_t Count = 0; Count < SeedsAtOnce; ++Count)
-    Sync.open(randomSeed(), Now);
+  Sync.open(randomSeed(), Now);
   const unsigned Doublings = std::min(JoinAttempts++, MostJoinDoublings);
   // The jitter keeps the nodes of a data centre that starts at once apart.
   const auto Wait = std::chrono::duration_cast<duration>(
@@ -370,8 +370,10 @@
 void membership::askForContacts(instant Now) {
   if (Now < NextContacts)
     return;
-  NextContacts =
-      Now + (Table.peers().empty() ? ContactRetry : Settings.QueryInterval);
+  NextContacts = Now + ContactInterval;
+  if (Table.peers().empty())
+    return;
+  ContactInterval = std::min(2 * ContactInterval, Settings.QueryInterval);
   for (const member_entry *Peer : Spread.randomPeers(1)) {
     gossip_message Message;
     Message.Kind = message_kind::Query;
--- a/modules/clementine_membership/node/membership.h
+++ b/modules/clementine_membership/node/membership.h
@@ -146,6 +146,9 @@
   unsigned JoinAttempts = 0;
   instant NextReconnect{};
   instant NextContacts{};
+  /// The present wait between requests for contacts; it doubles from a short
+  /// one after the start.
+  duration ContactInterval = std::chrono::seconds(1);
   instant NextForget{};
   instant LastActive{};
   instant LastNotice{};
--- a/modules/clementine_membership/spread/anti_entropy.cpp
+++ b/modules/clementine_membership/spread/anti_entropy.cpp
@@ -11,11 +11,17 @@
 namespace {
 
 /// With so many members learnt since the last comparison the next one is soon.
-constexpr std::size_t ManyLearnt = 4;
+constexpr std::size_t ManyLearnt = 2;
 /// How many members a node that has just started is told of at once.
-constexpr std::size_t ReferredMembers = 5;
+constexpr std::size_t ReferredMembers = 2;
 /// A node that knows fewer members is told of some more at once.
 constexpr std::size_t FewMembers = 4;
+/// A node that knows so many does not compare its whole view with such a one.
+constexpr std::size_t ManyMembers = 16;
+/// How many members help one that is new, on average.
+constexpr std::size_t WelcomingMembers = 2;
+/// The interval between comparisons after the start.
+constexpr duration FirstInterval = std::chrono::seconds(1);
 constexpr duration SoonInterval = std::chrono::milliseconds(200);
 
 bool isGone(const member_entry &Entry) {
@@ -30,7 +36,8 @@
 anti_entropy::anti_entropy(const membership_settings &Settings,
                            random_source &Random, member_table &Table,
                            disseminator &Spread)
-    : Settings(Settings), Random(Random), Table(Table), Spread(Spread) {}
+    : Settings(Settings), Random(Random), Table(Table), Spread(Spread),
+      Interval(FirstInterval) {}
 
 void anti_entropy::open(const endpoint &To, instant Now) {
   gossip_message Message;
@@ -70,14 +77,24 @@
     NextSync = std::min(NextSync, Now + SoonInterval);
 }
 
+void anti_entropy::welcome(const std::vector<member_key> &Members,
+                           instant Now) {
+  for (const member_key Key : Members) {
+    const member_entry *Entry = Table.find(Key);
+    if (Entry && Random.below(Table.liveCount()) < WelcomingMembers)
+      refer(Entry->Claim.Record.Gossip, Now);
+  }
+}
+
 void anti_entropy::tick(instant Now) {
   if (Now < NextSync)
     return;
   LearntSinceSync = 0;
   // Half an interval of jitter keeps nodes that started together apart.
-  const auto Jitter = std::chrono::duration_cast<duration>(
-      Settings.SyncInterval * Random.unit() / 2);
-  NextSync = Now + Settings.SyncInterval - Jitter;
+  const auto Jitter =
+      std::chrono::duration_cast<duration>(Interval * Random.unit() / 2);
+  NextSync = Now + Interval - Jitter;
+  Interval = std::min(Settings.SyncInterval, Interval + Interval / 8);
   for (const member_entry *Peer : Spread.randomPeers(1))
     open(Peer->Claim.Record.Gossip, Now);
 }
@@ -86,7 +103,7 @@
                                 const gossip_message &Message, instant Now) {
   if (Message.ViewDigest == Table.digest())
     return;
-  if (Message.LiveMembers < FewMembers && Table.liveCount() >= FewMembers) {
+  if (Message.LiveMembers < FewMembers && Table.liveCount() >= ManyMembers) {
     refer(From, Now);
     return;
   }
--- a/modules/clementine_membership/spread/anti_entropy.h
+++ b/modules/clementine_membership/spread/anti_entropy.h
@@ -29,9 +29,13 @@
   void receive(const endpoint &From, const gossip_message &Message,
                instant Now);
 
-  /// Notes that members were learnt; after many the next comparison is soon,
-  /// so that a node that has just started fills its view quickly.
+  /// Notes that members were learnt by anti-entropy; after many the next
+  /// comparison is soon, so that a node that has just started fills its view
+  /// quickly.
   void learnt(std::size_t Members, instant Now);
+  /// Notes that members were learnt from news: a few nodes help each of them to
+  /// fill its view, so that not all of that falls to the seeds.
+  void welcome(const std::vector<member_key> &Members, instant Now);
 
   /// Opens a comparison when one is due.
   void tick(instant Now);
@@ -54,6 +58,8 @@
   member_table &Table;
   disseminator &Spread;
   instant NextSync{};
+  /// The present interval; it grows from a short one after the start.
+  duration Interval;
   std::size_t LearntSinceSync = 0;
 };
 
--- a/modules/clementine_membership/spread/disseminator.cpp
+++ b/modules/clementine_membership/spread/disseminator.cpp
@@ -13,7 +13,7 @@
 /// With more news than this waiting, each piece is sent fewer times and the
 /// rest is left to anti-entropy.
 constexpr std::size_t CrowdedNews = 64;
-constexpr send_limits CrowdedLimits = {2, 4, 16};
+constexpr send_limits CrowdedLimits = {1, 4, 16};
 /// Urgent news is sent so many times more often, to more members and at shorter
 /// intervals, so that it reaches all within three seconds under loss.
 constexpr unsigned UrgentFactor = 2;
@@ -33,11 +33,13 @@
     : Settings(Settings), Random(Random), Table(Table), Outbox(Outbox),
       OnChange(std::move(OnChange)), OnSelf(std::move(OnSelf)) {}
 
-std::size_t disseminator::receive(const gossip_message &Message, instant Now) {
-  std::size_t Unknown = 0;
+std::vector<member_key> disseminator::receive(const gossip_message &Message,
+                                              instant Now) {
+  std::vector<member_key> Unknown;
   const bool IsNews = Message.Kind != message_kind::SyncClaims;
   for (const member_claim &Claim : Message.Claims)
-    Unknown += receiveClaim(Claim, IsNews, Now) ? 1 : 0;
+    if (receiveClaim(Claim, IsNews, Now))
+      Unknown.push_back(keyOf(Claim.Record.Identity.Name));
   for (const state_update &Update : Message.Updates)
     receiveUpdate(Update, Now);
   return Unknown;
--- a/modules/clementine_membership/spread/disseminator.h
+++ b/modules/clementine_membership/spread/disseminator.h
@@ -31,8 +31,8 @@
   disseminator &operator=(const disseminator &) = delete;
 
   /// Takes in all claims of a message.
-  /// @returns how many members were unknown before.
-  std::size_t receive(const gossip_message &Message, instant Now);
+  /// @returns the members that were unknown before.
+  std::vector<member_key> receive(const gossip_message &Message, instant Now);
 
   /// Spreads a change of the own record.
   /// @param IsUrgent whether the next round is due now, as for a member that
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -58,9 +58,10 @@
 }
 
 TEST_CASE("members of wanted services are known across data centres") {
+  // The only seed is in one of them.
   virtual_network Network({}, 4);
   for (std::size_t Index = 0; Index < 12; ++Index)
-    Network.start(Index, {0, 6}, Index < 6 ? "one" : "two",
+    Network.start(Index, {0}, Index < 6 ? "one" : "two",
                   Index % 2 == 0 ? "catalogue" : "warranties");
   Network.run(10s);
   Network.with(
@@ -74,3 +75,167 @@
     CHECK((Each->State == member_state::Leaving) ==
           (Each->Identity.Name == "node-8"));
 }
+
+TEST_CASE("a cut between two members alone raises no suspicion") {
+  virtual_network Network({}, 5);
+  for (std::size_t Index = 0; Index < 8; ++Index)
+    Network.start(Index, {0});
+  Network.run(20s);
+  Network.cut(2, 5);
+  Network.cut(5, 2);
+  for (int Second = 0; Second < 90; ++Second) {
+    Network.run(1s);
+    for (auto &[Index, Node] : Network.Nodes)
+      REQUIRE(countIn(*Node.Member, member_state::Alive) == 8);
+  }
+}
+
+TEST_CASE("a minority that is cut off keeps its view; the majority moves on") {
+  virtual_network Network({}, 6);
+  for (std::size_t Index = 0; Index < 7; ++Index)
+    Network.start(Index, {0});
+  Network.run(20s);
+  for (std::size_t Left = 0; Left < 2; ++Left)
+    for (std::size_t Right = 2; Right < 7; ++Right) {
+      Network.cut(Left, Right);
+      Network.cut(Right, Left);
+    }
+  Network.run(3600s);
+  CHECK(countIn(Network.member(0), member_state::Dead) == 0);
+  CHECK(countIn(Network.member(4), member_state::Dead) == 2);
+  Network.healAll();
+  Network.run(60s);
+  for (auto &[Index, Node] : Network.Nodes)
+    CHECK(countIn(*Node.Member, member_state::Alive) == 7);
+}
+
+TEST_CASE("a member that was paused does not end old suspicions at once") {
+  virtual_network Network({}, 7);
+  for (std::size_t Index = 0; Index < 8; ++Index)
+    Network.start(Index, {0});
+  Network.run(20s);
+  for (std::size_t Index = 0; Index < 8; ++Index)
+    Network.cut(5, Index);
+  while (countIn(Network.member(3), member_state::Suspect) == 0)
+    Network.run(100ms);
+  Network.pause(3);
+  Network.healAll();
+  Network.run(60s);
+  // The refutation came while nobody read the socket, and was lost.
+  Network.Nodes.at(3).Held.clear();
+  Network.resume(3);
+  Network.run(100ms);
+  CHECK(countIn(Network.member(3), member_state::Dead) == 0);
+  CHECK(Network.member(3).counters().Pauses == 1);
+  Network.run(20s);
+  CHECK(countIn(Network.member(3), member_state::Alive) == 8);
+}
+
+TEST_CASE("a member that hears nobody blames itself, and recovers") {
+  virtual_network Network({}, 8);
+  for (std::size_t Index = 0; Index < 6; ++Index)
+    Network.start(Index, {0});
+  Network.run(20s);
+  CHECK(Network.member(2).healthScore() == 0);
+  for (std::size_t Index = 0; Index < 6; ++Index)
+    Network.cut(Index, 2);
+  Network.run(30s);
+  CHECK(Network.member(2).healthScore() > 2);
+  Network.healAll();
+  Network.run(120s);
+  CHECK(Network.member(2).healthScore() == 0);
+}
+
+TEST_CASE("replayed datagrams change nothing and are counted") {
+  virtual_network Network({}, 9);
+  std::vector<std::vector<std::byte>> Recorded;
+  Network.OnSend = [&](const virtual_network::node &Node,
+                       const outgoing_datagram &Datagram) {
+    if (Node.Record.Identity.Name == "node-1" && Recorded.size() < 20)
+      Recorded.push_back(Datagram.Bytes);
+  };
+  Network.start(0, {});
+  Network.start(1, {0});
+  Network.run(20s);
+  REQUIRE(Recorded.size() == 20);
+  Network.member(1).setAdmissionLevel(9);
+  Network.run(10s);
+  CHECK(Network.member(0).view().find("node-1")->AdmissionLevel == 9);
+  for (const auto &Bytes : Recorded)
+    Network.member(0).receive({"10.9.9.9", 1}, Bytes, Network.Now);
+  CHECK(Network.member(0).counters().Replayed == 20);
+  CHECK(Network.member(0).view().find("node-1")->AdmissionLevel == 9);
+}
+
+TEST_CASE("what gossip sends stays under its cap in a storm") {
+  virtual_network::settings Settings;
+  Settings.Membership.BytesPerSecond = 400;
+  Settings.Membership.BurstBytes = 4096;
+  virtual_network Network(Settings, 10);
+  for (std::size_t Index = 0; Index < 40; ++Index)
+    Network.start(Index, {0, 1, 2});
+  for (int Second = 0; Second < 120; ++Second) {
+    Network.run(1s);
+    for (auto &[Index, Node] : Network.Nodes) {
+      const std::chrono::duration<double> Age = Network.Now - Node.Started;
+      REQUIRE(static_cast<double>(Node.BytesSent) <= 4096 + 400 * Age.count());
+    }
+  }
+}
+
+TEST_CASE("all views are full soon after everyone started at once") {
+  virtual_network Network({}, 11);
+  for (std::size_t Index = 0; Index < 120; ++Index)
+    Network.start(Index, {0, 1, 2});
+  Network.run(60s);
+  for (auto &[Index, Node] : Network.Nodes)
+    REQUIRE(countIn(*Node.Member, member_state::Alive) == 120);
+}
+
+TEST_CASE("a newer bundle is heard of by all, with where to fetch it") {
+  virtual_network Network({}, 12);
+  for (std::size_t Index = 0; Index < 30; ++Index)
+    Network.start(Index, {0}, Index < 20 ? "one" : "two");
+  Network.run(60s);
+  Network.with(25, [&](membership &Member) {
+    Member.setBundle({7, 99}, Network.Now);
+  });
+  // Each node that hears of it fetches it and then holds it as well.
+  for (int Step = 0; Step < 350; ++Step) {
+    Network.run(100ms);
+    for (auto &[Index, Node] : Network.Nodes)
+      Network.with(Index, [&](membership &Member) {
+        Member.setBundle(Member.view().NewestBundle.Bundle, Network.Now);
+      });
+  }
+  for (auto &[Index, Node] : Network.Nodes) {
+    const heard_bundle Newest = Node.Member->view().NewestBundle;
+    CHECK(Newest.Bundle == bundle_summary{7, 99});
+    CHECK(Newest.Gossip.Port == 7400);
+  }
+}
+
+TEST_CASE("keys are rotated without a stop") {
+  const auto KeyOf = [](const std::string &Id, int Fill) {
+    peer_key Key{Id, {}};
+    Key.Bytes.fill(static_cast<std::byte>(Fill));
+    return Key;
+  };
+  const peer_key Old = KeyOf("test", 42);
+  const peer_key New = KeyOf("next", 43);
+  virtual_network Network({}, 13);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    Network.start(Index, {0});
+  Network.run(20s);
+  const std::vector<std::vector<peer_key>> Rollouts = {
+      {Old, New}, {New, Old}, {New}};
+  for (const auto &Keys : Rollouts)
+    for (std::size_t Index = 0; Index < 4; ++Index) {
+      Network.member(Index).replaceKeys(peer_key_ring::make(Keys).value());
+      Network.run(10s);
+    }
+  for (auto &[Index, Node] : Network.Nodes) {
+    CHECK(countIn(*Node.Member, member_state::Alive) == 4);
+    CHECK(Node.Member->counters().Refused == std::array<std::uint64_t, 5>{});
+  }
+}
