--- a/extras/stand_in_upstream/main.cpp
+++ b/extras/stand_in_upstream/main.cpp
@@ -5,6 +5,8 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
+#include <thread>
 
 namespace {
 
@@ -34,84 +36,102 @@
     std::cerr << "upstream: requests were still in flight at the end\n";
 }
 
-} // namespace
+/// The command line and the settings that it gives.
+class command_line {
+public:
+  command_line() {
+    for (TCLAP::Arg *Option : std::initializer_list<TCLAP::Arg *>{
+             &Service, &Listen, &Node, &Slots, &Connections, &ServiceTime,
+             &Spread, &Seed, &Calls, &ColdTime, &ColdFactor, &ShedAbove,
+             &ReportLag, &Journal})
+      Line.add(Option);
+  }
 
-int main(int Count, char **Values) try {
-  TCLAP::CmdLine Line("A stand-in for one instance of a service.", ' ',
-                      CLEMENTINE_VERSION);
-  TCLAP::ValueArg<std::string> Service("", "service", "name of the service",
-                                       true, "", "NAME");
-  TCLAP::ValueArg<std::string> Listen("", "listen", "address to listen on",
-                                      true, "", "HOST:PORT");
-  TCLAP::ValueArg<std::string> Node("", "node", "base URL of its node", false,
-                                    "", "URL");
-  TCLAP::ValueArg<unsigned> Slots("", "slots", "requests worked on at once",
-                                  false, 10, "count");
-  TCLAP::ValueArg<unsigned> Connections(
-      "", "connections", "connections accepted", false, 100, "count");
-  TCLAP::ValueArg<double> ServiceTime("", "service-time", "mean time of work",
-                                      false, 10, "milliseconds");
-  TCLAP::ValueArg<double> Spread(
-      "", "spread", "standard deviation of the logarithm of the service time",
-      false, 0.3, "number");
-  TCLAP::ValueArg<std::uint64_t> Seed("", "seed", "seed of the service times",
-                                      false, 1, "number");
-  TCLAP::MultiArg<std::string> Calls("", "calls", "sub-calls of an operation",
-                                     false, "OPERATION=SERVICE/OPERATION[,..]");
-  TCLAP::ValueArg<unsigned> ColdTime("", "cold-ms", "length of a cold start",
-                                     false, 0, "milliseconds");
-  TCLAP::ValueArg<double> ColdFactor(
-      "", "cold-factor", "how much slower a cold start is", false, 3, "factor");
-  TCLAP::ValueArg<unsigned> ShedAbove(
-      "", "shed-above", "waiting requests above which new ones are shed; 0 off",
-      false, 0, "count");
-  TCLAP::ValueArg<unsigned> ReportLag("", "report-lag-ms",
-                                      "age of what /health and /load tell",
-                                      false, 2000, "milliseconds");
-  TCLAP::ValueArg<std::string> Journal(
-      "", "journal", "file that gets a line for each begin and end of a run",
-      false, "", "FILE");
-  for (TCLAP::Arg *Option : std::initializer_list<TCLAP::Arg *>{
-           &Service, &Listen, &Node, &Slots, &Connections, &ServiceTime,
-           &Spread, &Seed, &Calls, &ColdTime, &ColdFactor, &ShedAbove,
-           &ReportLag, &Journal})
-    Line.add(Option);
-  Line.parse(Count, Values);
+  /// @returns the settings, or nothing after telling what is wrong.
+  std::optional<upstream_settings> parse(int Count, char **Values) {
+    Line.parse(Count, Values);
+    upstream_settings Settings;
+    Settings.Service = Service.getValue();
+    Settings.Node = Node.getValue();
+    Settings.Slots = Slots.getValue();
+    Settings.Connections = Connections.getValue();
+    Settings.ServiceTime = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(ServiceTime.getValue()));
+    Settings.Spread = Spread.getValue();
+    Settings.Seed = Seed.getValue();
+    Settings.ColdTime = milliseconds(ColdTime.getValue());
+    Settings.ColdFactor = ColdFactor.getValue();
+    Settings.ShedAbove = ShedAbove.getValue();
+    Settings.ReportLag = milliseconds(ReportLag.getValue());
+    Settings.Journal = Journal.getValue();
+    if (!parseEndpoint(Listen.getValue(), Settings.Listen))
+      return refuse("--listen wants HOST:PORT, not " + Listen.getValue());
+    for (const std::string &Text : Calls.getValue())
+      if (!addToCallPlan(Text, Settings.Calls))
+        return refuse("--calls wants OPERATION=SERVICE/OPERATION[,..], not " +
+                      Text);
+    return Settings;
+  }
 
-  upstream_settings Settings;
-  Settings.Service = Service.getValue();
-  Settings.Node = Node.getValue();
-  Settings.Slots = Slots.getValue();
-  Settings.Connections = Connections.getValue();
-  Settings.ServiceTime = std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, std::milli>(ServiceTime.getValue()));
-  Settings.Spread = Spread.getValue();
-  Settings.Seed = Seed.getValue();
-  Settings.ColdTime = milliseconds(ColdTime.getValue());
-  Settings.ColdFactor = ColdFactor.getValue();
-  Settings.ShedAbove = ShedAbove.getValue();
-  Settings.ReportLag = milliseconds(ReportLag.getValue());
-  Settings.Journal = Journal.getValue();
-  if (!parseEndpoint(Listen.getValue(), Settings.Listen)) {
-    std::cerr << "upstream: --listen wants HOST:PORT, not " << Listen.getValue()
-              << '\n';
-    return ExitBadUsage;
+private:
+  static std::nullopt_t refuse(const std::string &Reason) {
+    std::cerr << "upstream: " << Reason << '\n';
+    return std::nullopt;
   }
-  for (const std::string &Text : Calls.getValue()) {
-    if (addToCallPlan(Text, Settings.Calls))
-      continue;
-    std::cerr
-        << "upstream: --calls wants OPERATION=SERVICE/OPERATION[,..], not "
-        << Text << '\n';
+
+  TCLAP::CmdLine Line{"A stand-in for one instance of a service.", ' ',
+                      CLEMENTINE_VERSION};
+  TCLAP::ValueArg<std::string> Service{"",   "service", "name of the service",
+                                       true, "",        "NAME"};
+  TCLAP::ValueArg<std::string> Listen{"",   "listen", "address to listen on",
+                                      true, "",       "HOST:PORT"};
+  TCLAP::ValueArg<std::string> Node{"",    "node", "base URL of its node",
+                                    false, "",     "URL"};
+  TCLAP::ValueArg<unsigned> Slots{"",    "slots", "requests worked on at once",
+                                  false, 10,      "count"};
+  TCLAP::ValueArg<unsigned> Connections{
+      "", "connections", "connections accepted", false, 100, "count"};
+  TCLAP::ValueArg<double> ServiceTime{
+      "", "service-time", "mean time of work", false, 10, "milliseconds"};
+  TCLAP::ValueArg<double> Spread{
+      "",    "spread", "standard deviation of the logarithm of service times",
+      false, 0.3,      "number"};
+  TCLAP::ValueArg<std::uint64_t> Seed{
+      "", "seed", "seed of the service times", false, 1, "number"};
+  TCLAP::MultiArg<std::string> Calls{"", "calls", "sub-calls of an operation",
+                                     false, "OPERATION=SERVICE/OPERATION[,..]"};
+  TCLAP::ValueArg<unsigned> ColdTime{"",    "cold-ms", "length of a cold start",
+                                     false, 0,         "milliseconds"};
+  TCLAP::ValueArg<double> ColdFactor{
+      "", "cold-factor", "how much slower a cold start is", false, 3, "factor"};
+  TCLAP::ValueArg<unsigned> ShedAbove{
+      "",
+      "shed-above",
+      "waiting requests above which new ones are shed",
+      false,
+      0,
+      "count, 0 for never"};
+  TCLAP::ValueArg<unsigned> ReportLag{
+      "",   "report-lag-ms", "age of what /health and /load tell", false,
+      2000, "milliseconds"};
+  TCLAP::ValueArg<std::string> Journal{
+      "",    "journal", "file that gets a line for each begin and end of a run",
+      false, "",        "FILE"};
+};
+
+} // namespace
+
+int main(int Count, char **Values) try {
+  const auto Settings = command_line().parse(Count, Values);
+  if (!Settings)
     return ExitBadUsage;
-  }
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
   // Blocked before any thread starts, so that only this one hears of them.
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  serveUntilSignal(Settings, Signals);
+  serveUntilSignal(*Settings, Signals);
   return 0;
 } catch (const std::exception &Error) {
   std::cerr << "upstream: " << Error.what() << '\n';
--- a/tests/load/test_description.cpp
+++ b/tests/load/test_description.cpp
@@ -5,6 +5,7 @@
 #include "clementine_load/description/scenario.h"
 #include "clementine_settings/clementine_settings.h"
 
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -136,12 +137,16 @@
 TEST_CASE("every description under examples is sound") {
   const std::string Folder =
       std::string(CLEMENTINE_SOURCE_DIR) + "/examples/deployments/";
-  for (const char *Name : {"takamori", "association"}) {
+  for (const std::string Name : {"takamori", "association"}) {
     const auto Read = readDeployment(readFile(Folder + Name + ".ini"));
     REQUIRE(Read.has_value());
-    for (const char *Kind : {"-surge.ini"}) {
-      const auto Load = readScenario(readFile(Folder + Name + Kind));
+    for (const auto &Entry : std::filesystem::directory_iterator(Folder)) {
+      const std::string File = Entry.path().stem();
+      if (!File.starts_with(Name + "-") || File == Name + "-bundle")
+        continue;
+      const auto Load = readScenario(readFile(Entry.path()));
       REQUIRE(Load.has_value());
+      CHECK(Load.value().Name == File);
       for (const load_stream &Stream : Load.value().Streams)
         CHECK(Read.value().find(Stream.Target.Service) != nullptr);
     }
