Leave no process behind when an experiment is interrupted

Cause: SIGTERM or Ctrl-C ended clementine_load alone and left the deployment's processes running. Ruled out: a process group signalled as a whole, which the shell's job control may share with others; names. Change: interrupt_guard waits for both signals on a thread of its own, has every process that was started killed by its identifier, and ends the program. Conclusion: an experiment cleans up after itself however it ends.

--- a/extras/clementine_load/main.cpp
+++ b/extras/clementine_load/main.cpp
@@ -2,6 +2,7 @@
 /// and faults on it, and tells what became of the requests.
 #include "clementine_load/output/report.h"
 #include "clementine_load/run/experiment.h"
+#include "clementine_load/run/interrupt_guard.h"
 
 #include <tclap/CmdLine.h>
 
@@ -106,6 +107,7 @@
   runHook(Options.Prepare, {Work}, HookLog);
   running_deployment Running(Deployment, Options.Folders, readKeys(Work),
                              Scenario.Seed);
+  const interrupt_guard Guard([&Running] { Running.kill(); });
   Progress.step("starting " + Deployment.Name);
   Running.startPlatform();
   Running.startInstances();
--- a/extras/clementine_load/run/process_group.cpp
+++ b/extras/clementine_load/run/process_group.cpp
@@ -18,12 +18,15 @@
 
 } // namespace
 
-process_group::~process_group() {
+process_group::~process_group() { killAll(); }
+
+void process_group::killAll() {
   const std::lock_guard Lock(Mutex);
   for (const auto &[Name, Process] : Running) {
     ::kill(Process, SIGKILL);
     ::waitpid(Process, nullptr, 0);
   }
+  Running.clear();
 }
 
 bool process_group::start(const std::string &Name,
@@ -39,9 +42,17 @@
   posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogPath.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, LogMode);
   posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  // Signals that this program blocks for itself are not blocked in others.
+  sigset_t Unblocked;
+  sigemptyset(&Unblocked);
+  posix_spawnattr_t Attributes;
+  posix_spawnattr_init(&Attributes);
+  posix_spawnattr_setsigmask(&Attributes, &Unblocked);
+  posix_spawnattr_setflags(&Attributes, POSIX_SPAWN_SETSIGMASK);
   pid_t Process = 0;
-  const int Failed = ::posix_spawnp(&Process, Arguments[0], &Actions, nullptr,
-                                    Arguments.data(), environ);
+  const int Failed = ::posix_spawnp(&Process, Arguments[0], &Actions,
+                                    &Attributes, Arguments.data(), environ);
+  posix_spawnattr_destroy(&Attributes);
   posix_spawn_file_actions_destroy(&Actions);
   if (Failed != 0)
     return false;
--- a/extras/clementine_load/run/process_group.h
+++ b/extras/clementine_load/run/process_group.h
@@ -44,6 +44,9 @@
   std::vector<std::string> stop(const std::vector<std::string> &Names,
                                 duration Patience);
 
+  /// Kills all that still run and waits for their ends.
+  void killAll();
+
 private:
   std::mutex Mutex;
   std::map<std::string, pid_t> Running;
--- a/extras/clementine_load/run/running_deployment.h
+++ b/extras/clementine_load/run/running_deployment.h
@@ -62,6 +62,9 @@
   /// @returns the names of those that had to be killed.
   std::vector<std::string> stop();
 
+  /// Kills all processes at once.
+  void kill() { Processes.killAll(); }
+
   /// Reads the journals of all upstreams.
   /// @returns the runs; malformed lines are counted in @p Malformed.
   run_index readJournals(std::size_t &Malformed) const;
