--- a/modules/clementine_node/node/node.cpp
+++ b/modules/clementine_node/node/node.cpp
@@ -1,11 +1,13 @@
 #include "clementine_node/node/node.h"
 
+#include "clementine_admin/clementine_admin.h"
 #include "clementine_http/clementine_http.h"
 #include "clementine_node/bundles/bundle_duty.h"
 #include "clementine_node/callers/caller_frontend.h"
 #include "clementine_node/engine/engine_loop.h"
 #include "clementine_node/gossip/gossip_duty.h"
 #include "clementine_node/observe/request_observer.h"
+#include "clementine_node/observe/status_duty.h"
 #include "clementine_node/platform/bundle_watch.h"
 #include "clementine_node/platform/claim_duty.h"
 #include "clementine_platform/clementine_platform.h"
@@ -157,7 +159,8 @@
       : Settings(Settings), Self{Settings.Name,
                                  firstIncarnation(wallMilliseconds())},
         Keys(keyRingOf(Settings)), Spans(spansOf(Settings, Metrics)),
-        Observer(Metrics, spanListener()), Platform(platformOf(Settings)),
+        Usage(Clock), Observer(Metrics, Usage, spanListener()),
+        Platform(platformOf(Settings)),
         Peers({Settings.PeerListen}, Self, Keys, randomSeed(), Clock, *this),
         Upstream({static_cast<unsigned>(Settings.UpstreamConnections)}, *this),
         Frontend(*this),
@@ -173,7 +176,11 @@
                {Peers, Frontend, Claims, Upstream, Observer, Observer},
                limiterOf(Settings), randomSeed(), Clock,
                [this](const std::string &Service) { Gossip.want(Service); }),
-        Server("http", callerServerOf(Settings), Frontend), Root("node") {
+        Server("http", callerServerOf(Settings), Frontend),
+        Status({Self, Settings.DataCentre, Engine, Usage,
+                [this] { return Bundles.held(); }},
+               Clock),
+        Admin(Settings.AdminListen, Status.snapshot(), Metrics), Root("node") {
     if (Platform)
       Watch = std::make_unique<bundle_watch>(*Platform, Bundles, randomSeed(),
                                              Clock);
@@ -226,11 +233,15 @@
     if (Watch)
       Control->add(borrowed(*Watch));
     Control->add(borrowed(Claims));
+    auto Operators = std::make_shared<supervisor>("operators");
+    Operators->add(borrowed(Status));
+    Operators->add(borrowed(Admin));
     auto Requests = std::make_shared<supervisor>("requests");
     Requests->add(borrowed(Engine));
     Requests->add(borrowed(Upstream));
     Requests->add(borrowed(Peers));
     Requests->add(borrowed(Server));
+    Root.add(Operators);
     Root.add(Control);
     Root.add(Requests);
   }
@@ -344,6 +355,7 @@
     if (View.NewestBundle.Peer.Port != 0)
       Bundles.peerOffers(
           {View.NewestBundle.Bundle.Version, View.NewestBundle.Peer});
+    Status.viewChanged(View);
     if (Watch)
       Watch->setWatcher(isWatcher(Settings.Name, liveNodesOf(View)));
   }
@@ -355,6 +367,7 @@
   const logger Log{"node"};
   metrics_registry Metrics;
   std::unique_ptr<span_exporter> Spans;
+  caller_usage Usage;
   request_observer Observer;
   std::unique_ptr<platform_store> Platform;
   peer_transport Peers;
@@ -366,6 +379,8 @@
   std::unique_ptr<bundle_watch> Watch;
   engine_loop Engine;
   http_server Server;
+  status_duty Status;
+  admin_server Admin;
   std::mutex AnnouncedMutex;
   upstream_announcement LastAnnounced;
   supervisor Root;
--- a/modules/clementine_node/observe/request_observer.cpp
+++ b/modules/clementine_node/observe/request_observer.cpp
@@ -33,8 +33,8 @@
 } // namespace
 
 request_observer::request_observer(metrics_registry &Metrics,
-                                   span_listener OnSpan)
-    : OnSpan(std::move(OnSpan)),
+                                   caller_usage &Usage, span_listener OnSpan)
+    : Usage(Usage), OnSpan(std::move(OnSpan)),
       Calls(countersFor(Metrics, "clementine_calls_total",
                         "Requests answered by the entry side of this node.")),
       Runs(countersFor(Metrics, "clementine_runs_total",
@@ -71,6 +71,9 @@
   if (Report.Attempts > 1)
     ExtraAttempts.add(Report.Attempts - 1);
   CallLatency.record(Report.Taken);
+  if (Report.Depth == 0)
+    Usage.add(Report.Caller, Report.Cost, Report.Taken,
+              Report.Outcome == run_outcome::NotRun);
   if (logger::isEnabled(log_level::Debug))
     Log.debug("request ended", {log_field(Report.Request),
                                 {"caller", Report.Caller},
--- a/modules/clementine_node/observe/request_observer.h
+++ b/modules/clementine_node/observe/request_observer.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINE_NODE_OBSERVE_REQUEST_OBSERVER_H
 #define CLEMENTINE_NODE_OBSERVE_REQUEST_OBSERVER_H
 
+#include "clementine_node/observe/caller_usage.h"
 #include "clementine_request/clementine_request.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
@@ -16,8 +17,9 @@
   /// Takes a finished span; may be empty.
   using span_listener = std::function<void(span Span)>;
 
-  /// @param Metrics has to outlive the observer.
-  request_observer(metrics_registry &Metrics, span_listener OnSpan);
+  /// @param Metrics and @p Usage have to outlive the observer.
+  request_observer(metrics_registry &Metrics, caller_usage &Usage,
+                   span_listener OnSpan);
 
   request_observer(const request_observer &) = delete;
   request_observer &operator=(const request_observer &) = delete;
@@ -36,6 +38,7 @@
                                       std::string_view Help);
 
   const logger Log{"request"};
+  caller_usage &Usage;
   const span_listener OnSpan;
   outcome_counters Calls;
   outcome_counters Runs;
--- a/modules/clementine_request/entry/entry_call.h
+++ b/modules/clementine_request/entry/entry_call.h
@@ -55,6 +55,7 @@
   request_context Context;
   hop_trace Trace;
   bool Repeatable = false;
+  double Cost = 0;
   call_phase Phase = call_phase::Running;
   instant ArrivedAt;
   instant Deadline;
--- a/modules/clementine_request/entry/entry_ports.h
+++ b/modules/clementine_request/entry/entry_ports.h
@@ -107,6 +107,8 @@
   hop_trace Trace;
   importance Importance = importance::Normal;
   std::uint8_t Depth = 0;
+  /// In the bundle's units; 0 for a request that the bundle does not know.
+  double Cost = 0;
   run_outcome Outcome = run_outcome::Unknown;
   refusal Reason = refusal::None;
   std::uint16_t Status = 0;
--- a/modules/clementine_request/entry/entry_service.cpp
+++ b/modules/clementine_request/entry/entry_service.cpp
@@ -111,6 +111,7 @@
   if (Policy.has_error())
     return refusalOf(Policy.error());
   Call.Repeatable = Policy.value().Repeatable;
+  Call.Cost = Policy.value().Cost;
   Call.Context.Importance = Policy.value().Importance;
   Call.Budget = retry_budget(Policy.value().RetryBudget);
   Call.BudgetAtStart = Policy.value().RetryBudget;
@@ -633,6 +634,7 @@
   Report.Trace = Call->Trace;
   Report.Importance = Call->Context.Importance;
   Report.Depth = Call->Context.Depth;
+  Report.Cost = Call->Cost;
   Report.Outcome = Outcome;
   Report.Reason = Reason;
   Report.Status = Answer.Status;
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -210,7 +210,7 @@
   }
   for (auto &[Index, Node] : Network.Nodes) {
     const heard_bundle Newest = Node.Member->view().NewestBundle;
-    CHECK(Newest.Bundle == bundle_summary{7, 99});
+    CHECK(Newest.Bundle == bundle_mark{7, 99});
     CHECK(Newest.Gossip.Port == 7400);
   }
 }
