--- a/modules/clementine_admission/gate/admission_gate.cpp
+++ b/modules/clementine_admission/gate/admission_gate.cpp
@@ -47,7 +47,7 @@
     ServiceTime.learn(Taken);
   Limiter->learn({Result.Outcome, Attempt.StartedAt,
                   std::max(duration(0), Taken - Result.SubCallTime),
-                  Attempt.InFlightAtStart, LimitReached},
+                  Attempt.InFlightAtStart, LimitReached, Result.SubCallTime},
                  Now);
 
   gate_actions Actions;
--- a/modules/clementine_admission/limits/concurrency_limiter.h
+++ b/modules/clementine_admission/limits/concurrency_limiter.h
@@ -18,6 +18,8 @@
   std::size_t InFlightAtStart = 0;
   /// Whether as many ran as the limit allows just before it ended.
   bool LimitReached = false;
+  /// The time in sub-calls, during which its slot was held too.
+  duration SubCallTime{0};
 
   auto operator<=>(const load_sample &) const = default;
 };
--- a/modules/clementine_admission/limits/learned_limiter.cpp
+++ b/modules/clementine_admission/limits/learned_limiter.cpp
@@ -85,6 +85,7 @@
   ++Window.Count;
   Window.LogSum += Log;
   Window.LogSquareSum += Log * Log;
+  Window.SubCallSum += static_cast<double>(Sample.SubCallTime.count());
   Window.LimitReached |= Sample.LimitReached;
   if (isWindowFull(Now))
     closeWindow(Now);
@@ -113,12 +114,15 @@
   if (Latency < Floor)
     lowerFloor(Latency);
 
-  if (Latency > Floor * Settings.Tolerance) {
-    cut(Latency);
+  const double SubCalls = Window.SubCallSum / static_cast<double>(Window.Count);
+  const double Residence = Latency + SubCalls;
+  const double Uncongested = Floor + SubCalls;
+  if (Residence > Uncongested * Settings.Tolerance) {
+    cut(Latency, SubCalls);
   } else {
     endExperiment();
     // Between target and tolerance the knee is near: no more doubling.
-    SeenCongestion |= Latency > Floor * Settings.CutTarget;
+    SeenCongestion |= Residence > Uncongested * Settings.CutTarget;
     if (Window.LimitReached && !Window.Shed)
       grow();
   }
@@ -140,14 +144,15 @@
                           std::max(1.0, Limit * Settings.LargestGrowthShare));
 }
 
-void learned_limiter::cut(double Latency) {
+void learned_limiter::cut(double Latency, double SubCalls) {
+  const double Residence = Latency + SubCalls;
   SeenCongestion = true;
   GrowthStep = 1;
   if (Cuts == 0) {
     LimitBeforeCuts = Limit;
   } else {
     const double Factor = Limit / LimitBeforeLastCut;
-    const bool Fell = Latency <= LatencyBeforeLastCut * std::sqrt(Factor);
+    const bool Fell = Residence <= ResidenceBeforeLastCut * std::sqrt(Factor);
     CutsWithoutEffect = Fell ? 0 : CutsWithoutEffect + 1;
   }
   if (CutsWithoutEffect >= Settings.CutsBeforeNewFloor) {
@@ -155,10 +160,10 @@
     return;
   }
   ++Cuts;
-  LatencyBeforeLastCut = Latency;
+  ResidenceBeforeLastCut = Residence;
   LimitBeforeLastCut = Limit;
-  Limit = held(Limit * std::max(Settings.DeepestCut,
-                                Floor * Settings.CutTarget / Latency));
+  const double Target = (Floor + SubCalls) * Settings.CutTarget;
+  Limit = held(Limit * std::max(Settings.DeepestCut, Target / Residence));
 }
 
 void learned_limiter::acceptFloor(double Latency) {
--- a/modules/clementine_admission/limits/learned_limiter.h
+++ b/modules/clementine_admission/limits/learned_limiter.h
@@ -54,6 +54,11 @@
 /// before the cuts comes back. A faster upstream lowers the floor at once, a
 /// slightly lower latency lowers it slowly.
 ///
+/// The floor leaves sub-calls out, since a slow service further down is no
+/// congestion here. What is compared is the residence, own time and sub-calls,
+/// with what it would be at the floor: slots are held through sub-calls, and a
+/// wait for one lasts as long as they do.
+///
 /// An answer by which the upstream sheds caps the limit below the concurrency
 /// at which it was sent.
 ///
@@ -79,6 +84,7 @@
     std::size_t Count = 0;
     double LogSum = 0;
     double LogSquareSum = 0;
+    double SubCallSum = 0;
     bool LimitReached = false;
     bool Shed = false;
   };
@@ -89,7 +95,7 @@
   void closeWindow(instant Now);
   void lowerFloor(double Latency);
   void grow();
-  void cut(double Latency);
+  void cut(double Latency, double SubCalls);
   void acceptFloor(double Latency);
   void endExperiment();
   void openWindow(instant Now);
@@ -106,7 +112,7 @@
   unsigned CutsWithoutEffect = 0;
   double LimitBeforeCuts = 0;
   double LimitBeforeLastCut = 0;
-  double LatencyBeforeLastCut = 0;
+  double ResidenceBeforeLastCut = 0;
   window Window;
 };
 
