--- a/extras/clementine_load/run/running_deployment.h
+++ b/extras/clementine_load/run/running_deployment.h
@@ -7,6 +7,7 @@
 #include "clementine_load/run/process_group.h"
 #include "stand_in_http/http_client.h"
 
+#include <atomic>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -61,6 +62,9 @@
   /// @returns the names of those that had to be killed.
   std::vector<std::string> stop();
 
+  /// Kills all processes at once.
+  void kill() { Processes.killAll(); }
+
   /// Reads the journals of all upstreams.
   /// @returns the runs; malformed lines are counted in @p Malformed.
   run_index readJournals(std::size_t &Malformed) const;
@@ -69,6 +73,9 @@
   std::vector<std::string> entries() const;
 
 private:
+  std::string awaitEntry(const std::string &Entry,
+                         const std::vector<load_stream> &Streams, instant End);
+
   /// Makes one call.
   /// @returns an empty text if it was served whole, or what was wrong.
   std::string probe(const std::string &Entry, const load_stream &Stream);
@@ -88,7 +95,7 @@
   const std::vector<instance_description> Instances;
   stand_in::http_client Client;
   process_group Processes;
-  std::uint64_t Probes = 0;
+  std::atomic<std::uint64_t> Probes{0};
 };
 
 } // namespace clementine::load
--- a/modules/clementine_membership/node/membership.cpp
+++ b/modules/clementine_membership/node/membership.cpp
@@ -11,8 +11,7 @@
 /// The first wait between two attempts to join, and the most doublings of it.
 constexpr duration JoinInterval = std::chrono::seconds(1);
 constexpr unsigned MostJoinDoublings = 4;
-/// How many seeds are asked at an attempt.
-constexpr std::size_t SeedsAtOnce = 3;
+
 /// The most seeds that are held.
 constexpr std::size_t MostSeeds = 64;
 /// A tick that comes so much too late shows that the node was paused.
@@ -29,8 +28,7 @@
 /// How many nodes in a data centre probe each dead member, or seeds, in each
 /// reconnect interval.
 constexpr std::size_t ReconnectingNodes = 4;
-/// How often a node without peers looks whether it can ask for contacts.
-constexpr duration ContactRetry = std::chrono::seconds(1);
+
 /// The first incarnation after @p Heard.
 constexpr std::uint64_t above(std::uint64_t Heard) { return Heard + 1; }
 
@@ -225,6 +223,7 @@
   hearBundle(From, Message);
   const bool IsLocal = Message.DataCentre == Outbox.Header.DataCentre;
   if (Message.Kind == message_kind::Query) {
+    Directory.addContact({Message.DataCentreName, From}, Now);
     Server.answer(From, Message, Now);
     return;
   }
@@ -232,7 +231,7 @@
     for (const centre_contact &Contact : Message.Contacts)
       if (Contact.DataCentre == self().DataCentre && Table.peers().empty() &&
           Contact.Gossip != self().Gossip)
-        Sync.open(Contact.Gossip, true, Now);
+        Sync.open(Contact.Gossip, Now);
     Directory.receive(From, Message, Now);
     return;
   }
@@ -245,13 +244,19 @@
 
 void membership::handleLocal(const endpoint &From,
                              const gossip_message &Message, instant Now) {
-  const std::size_t Unknown = Spread.receive(Message, Now);
+  const bool Met = Table.find(Message.Sender) == nullptr;
+  const std::vector<member_key> Unknown = Spread.receive(Message, Now);
   Table.noteLevel(Message.Sender, Message.AdmissionLevel);
-  Sync.learnt(Unknown, Now);
+  if (Message.Kind == message_kind::SyncClaims)
+    Sync.learnt(Unknown.size(), Now);
+  else
+    Sync.welcome(Unknown, Now);
+  if (Met)
+    Sync.met(From, Now);
   Detector.receive(From, Message, Now);
   Sync.receive(From, Message, Now);
   if (!Message.Wanted.empty())
-    Spread.sendClaims(From, Message.Wanted, urgency::News, Now);
+    Spread.sendClaims(From, Message.Wanted, urgency::Sync, Now);
 }
 
 bool membership::isFresh(const endpoint &From, const gossip_message &Message,
@@ -261,9 +266,7 @@
   if (Verdict == replay_verdict::Fresh)
     return true;
   ++Counters.Replayed;
-  const member_entry *Sender = Table.find(Message.Sender);
-  if (Verdict == replay_verdict::Replayed || !Sender ||
-      Now - LastNotice < NoticeInterval)
+  if (Verdict == replay_verdict::Replayed || Now - LastNotice < NoticeInterval)
     return false;
   // A node that started with a lower incarnation than its earlier run had has
   // to hear of it, or nobody would listen to it.
@@ -271,8 +274,7 @@
   gossip_message Notice;
   state_update Update;
   Update.Key = Message.Sender;
-  Update.Incarnation = Sender->Claim.Record.Identity.Incarnation;
-  Update.State = Sender->Claim.Record.State;
+  Update.Incarnation = Replays.epochOf(Message.Sender).value_or(0);
   Notice.Updates.push_back(Update);
   Outbox.send(From, std::move(Notice), urgency::News, Now);
   return false;
@@ -335,8 +337,7 @@
     NextJoin = instant::max();
     return;
   }
-  for (std::size_t Count = 0; Count < SeedsAtOnce; ++Count)
-    Sync.open(randomSeed(), true, Now);
+  Sync.open(randomSeed(), Now);
   const unsigned Doublings = std::min(JoinAttempts++, MostJoinDoublings);
   // The jitter keeps the nodes of a data centre that starts at once apart.
   const auto Wait = std::chrono::duration_cast<duration>(
@@ -363,14 +364,16 @@
     Detector.reconnect(*Dead[Random.below(Dead.size())], Now);
   // Two halves that forgot each other meet again at a seed.
   if (!Seeds.empty() && !Table.peers().empty() && Share < ReconnectingNodes)
-    Sync.open(randomSeed(), true, Now);
+    Sync.open(randomSeed(), Now);
 }
 
 void membership::askForContacts(instant Now) {
   if (Now < NextContacts)
     return;
-  NextContacts =
-      Now + (Table.peers().empty() ? ContactRetry : Settings.QueryInterval);
+  NextContacts = Now + ContactInterval;
+  if (Table.peers().empty())
+    return;
+  ContactInterval = std::min(2 * ContactInterval, Settings.QueryInterval);
   for (const member_entry *Peer : Spread.randomPeers(1)) {
     gossip_message Message;
     Message.Kind = message_kind::Query;
--- a/modules/clementine_membership/spread/anti_entropy.h
+++ b/modules/clementine_membership/spread/anti_entropy.h
@@ -19,17 +19,23 @@
   anti_entropy &operator=(const anti_entropy &) = delete;
 
   /// Opens a comparison with @p To.
-  /// @param WithSelf whether the own claim is sent along, for a receiver that
-  /// may not know this node.
-  void open(const endpoint &To, bool WithSelf, instant Now);
+  void open(const endpoint &To, instant Now);
+
+  /// Notes that a member unknown so far was heard: a node that knows few
+  /// compares views with it at once.
+  void met(const endpoint &From, instant Now);
 
   /// Handles SyncDigest, SyncBuckets and SyncEntries.
   void receive(const endpoint &From, const gossip_message &Message,
                instant Now);
 
-  /// Notes that members were learnt; after many the next comparison is soon,
-  /// so that a node that has just started fills its view quickly.
+  /// Notes that members were learnt by anti-entropy; after many the next
+  /// comparison is soon, so that a node that has just started fills its view
+  /// quickly.
   void learnt(std::size_t Members, instant Now);
+  /// Notes that members were learnt from news: a few nodes help each of them to
+  /// fill its view, so that not all of that falls to the seeds.
+  void welcome(const std::vector<member_key> &Members, instant Now);
 
   /// Opens a comparison when one is due.
   void tick(instant Now);
@@ -37,6 +43,9 @@
   instant nextWake() const { return NextSync; }
 
 private:
+  /// Tells a node that has just started of a few members, so that it need not
+  /// learn everything from its seed.
+  void refer(const endpoint &To, instant Now);
   void answerDigest(const endpoint &From, const gossip_message &Message,
                     instant Now);
   void answerBuckets(const endpoint &From, const gossip_message &Message,
@@ -49,6 +58,8 @@
   member_table &Table;
   disseminator &Spread;
   instant NextSync{};
+  /// The present interval; it grows from a short one after the start.
+  duration Interval;
   std::size_t LearntSinceSync = 0;
 };
 
--- a/modules/clementine_settings/node/settings_reader.cpp
+++ b/modules/clementine_settings/node/settings_reader.cpp
@@ -19,6 +19,9 @@
 /// The most characters of a value that an error shows.
 constexpr std::size_t LongestShownValue = 120;
 
+/// The most characters that the key ring allows in a secret's name.
+constexpr std::size_t LongestPeerKeyName = 32;
+
 constexpr std::string_view HiddenValue = "(hidden)";
 
 constexpr std::string_view LineForm =
@@ -68,6 +71,7 @@
 
 std::uint64_t magnitude(std::uint64_t Number) { return Number; }
 double magnitude(fraction Share) { return Share.Value; }
+double magnitude(factor Factor) { return Factor.Value; }
 std::int64_t magnitude(duration Span) { return Span.count(); }
 std::uint64_t magnitude(byte_count Size) { return Size.Bytes; }
 
@@ -84,6 +88,11 @@
          (!Highest || magnitude(Candidate) <= magnitude(*Highest));
 }
 
+bool isInRange(const std::string &Name, const setting &Setting) {
+  const auto Highest = value_format<std::uint64_t>::parse(Setting.Highest);
+  return !Highest || Name.size() <= *Highest;
+}
+
 template <class Value>
 bool isInRange(const std::vector<Value> &List, const setting &Setting) {
   const auto Highest = value_format<std::uint64_t>::parse(Setting.Highest);
@@ -156,9 +165,9 @@
     if (!Errors.empty())
       return;
     checkListeners();
-    checkSuspicion();
     checkNames("bundle", "trusted_keys", Settings.TrustedKeys);
     checkNames("security", "peer_keys", Settings.PeerKeys);
+    checkPeerKeyNames();
   }
 
   result<node_settings, settings_errors> finish() {
@@ -238,14 +247,6 @@
     }
   }
 
-  void checkSuspicion() {
-    if (Settings.SuspicionTimeout > Settings.ProbeInterval)
-      return;
-    const setting *Suspicion = findSetting("membership", "suspicion");
-    conflict("membership", "suspicion", Assigned.at(Suspicion).Text,
-             "a duration longer than probe_interval");
-  }
-
   void checkNames(std::string_view Section, std::string_view Key,
                   const std::vector<named_key> &Keys) {
     std::set<std::string_view> Names;
@@ -254,6 +255,14 @@
         conflict(Section, Key, Named.Name, "each name once");
   }
 
+  void checkPeerKeyNames() {
+    for (const named_key &Key : Settings.PeerKeys)
+      if (Key.Name.size() > LongestPeerKeyName)
+        conflict("security", "peer_keys", Key.Name,
+                 "names of at most " + std::to_string(LongestPeerKeyName) +
+                     " characters");
+  }
+
   void conflict(std::string_view Section, std::string_view Key,
                 std::string_view Value, std::string Allowed) {
     const setting *Setting = findSetting(Section, Key);
