Membership: a seed no longer names itself to nodes that start

The seeds' bytes went into answering probes of nodes that knew only them. Change: a referral names three random members and not the seed itself, unless it knows too few others. Conclusion: the time to full views at 800 is not measured to its end.

--- a/modules/clementine_membership/spread/anti_entropy.cpp
+++ b/modules/clementine_membership/spread/anti_entropy.cpp
@@ -13,7 +13,7 @@
 /// With so many members learnt since the last comparison the next one is soon.
 constexpr std::size_t ManyLearnt = 2;
 /// How many members a node that has just started is told of at once.
-constexpr std::size_t ReferredMembers = 2;
+constexpr std::size_t ReferredMembers = 3;
 /// A node that knows fewer members is told of some more at once.
 constexpr std::size_t FewMembers = 4;
 /// A node that knows so many does not compare its whole view with such a one.
@@ -50,9 +50,12 @@
 }
 
 void anti_entropy::refer(const endpoint &To, instant Now) {
-  std::vector<member_key> Named = {Table.self().Key};
+  // A seed does not name itself, or all that start would probe it at once.
+  std::vector<member_key> Named;
   for (const member_entry *Peer : Spread.randomPeers(ReferredMembers))
     Named.push_back(Peer->Key);
+  if (Named.size() < ReferredMembers)
+    Named.push_back(Table.self().Key);
   Spread.sendClaims(To, Named, urgency::Join, Now);
 }
 
