--- a/modules/clementine_core/identity/identity.h
+++ b/modules/clementine_core/identity/identity.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace clementine {
 
@@ -13,7 +14,10 @@
   std::string Host;
   std::uint16_t Port = 0;
 
-  auto operator<=>(const endpoint &) const = default;
+  bool operator==(const endpoint &) const = default;
+  std::strong_ordering operator<=>(const endpoint &Other) const {
+    return std::tie(Host, Port) <=> std::tie(Other.Host, Other.Port);
+  }
 
   /// @returns the form `host:port`.
   std::string text() const;
@@ -28,7 +32,11 @@
   std::string Name;
   std::uint64_t Incarnation = 0;
 
-  auto operator<=>(const node_identity &) const = default;
+  bool operator==(const node_identity &) const = default;
+  std::strong_ordering operator<=>(const node_identity &Other) const {
+    return std::tie(Name, Incarnation) <=>
+           std::tie(Other.Name, Other.Incarnation);
+  }
 };
 
 /// How many low bits of an incarnation count refutations. The bits above them
@@ -51,7 +59,10 @@
   std::uint64_t High = 0;
   std::uint64_t Low = 0;
 
-  auto operator<=>(const request_id &) const = default;
+  bool operator==(const request_id &) const = default;
+  std::strong_ordering operator<=>(const request_id &Other) const {
+    return std::tie(High, Low) <=> std::tie(Other.High, Other.Low);
+  }
 
   /// @returns 32 lower-case hexadecimal digits.
   std::string text() const;
--- a/modules/clementine_node/bundles/bundle_duty.h
+++ b/modules/clementine_node/bundles/bundle_duty.h
@@ -22,7 +22,7 @@
   std::uint64_t Version = 0;
   endpoint Peer;
 
-  auto operator<=>(const bundle_offer &) const = default;
+  bool operator==(const bundle_offer &) const = default;
 };
 
 /// Keeps the newest accepted bundle: fetches what peers or the platform hold
--- a/modules/clementine_node/callers/caller_frontend.h
+++ b/modules/clementine_node/callers/caller_frontend.h
@@ -21,7 +21,7 @@
   /// Whether it has just started and should get little work at first.
   bool IsCold = false;
 
-  auto operator<=>(const upstream_announcement &) const = default;
+  bool operator==(const upstream_announcement &) const = default;
 };
 
 /// What a caller_frontend hands on. Called on many threads.
--- a/modules/clementine_node/engine/engine_loop.h
+++ b/modules/clementine_node/engine/engine_loop.h
@@ -23,7 +23,7 @@
   duration MeanServiceTime{0};
   bool IsDraining = false;
 
-  auto operator<=>(const engine_figures &) const = default;
+  bool operator==(const engine_figures &) const = default;
 };
 
 /// Runs a request_engine on a thread of its own, fed by one bounded ring.
--- a/modules/clementine_node/node/node.cpp
+++ b/modules/clementine_node/node/node.cpp
@@ -88,6 +88,7 @@
   Engine.Entry.DataCentre = Settings.DataCentre;
   Engine.Entry.SampleShare = Settings.SampleShare.Value;
   Engine.Entry.Throttle.Share = Settings.RetryShare.Value;
+  Engine.Admission.QueuedPerSlot = Settings.QueuePerSlot.Value;
   Engine.Ledger.MostKeyedRuns = Settings.LedgerEntries;
   Engine.Ledger.KeepKeyedRuns = Settings.LedgerKeep;
   return Engine;
@@ -102,6 +103,7 @@
   Gossip.Self.Peer = Settings.PeerListen;
   Gossip.Self.Http = Settings.HttpListen;
   Gossip.Self.State = member_state::Alive;
+  Gossip.Membership.SuspicionMultiplier = Settings.SuspicionMultiplier.Value;
   Gossip.Membership.ProbeInterval = Settings.ProbeInterval;
   Gossip.Membership.BytesPerSecond =
       static_cast<double>(Settings.GossipBytesPerSecond.Bytes);
--- a/modules/clementine_node/observe/caller_usage.h
+++ b/modules/clementine_node/observe/caller_usage.h
@@ -19,7 +19,7 @@
   /// Requests that were refused since the start of the node.
   std::uint64_t Refused = 0;
 
-  auto operator<=>(const caller_figures &) const = default;
+  bool operator==(const caller_figures &) const = default;
 };
 
 /// Counts what callers use at this node, for operators. For any thread.
--- a/modules/clementine_request/entry/entry_ports.h
+++ b/modules/clementine_request/entry/entry_ports.h
@@ -31,7 +31,7 @@
   std::string TraceParent;
   http_payload Payload;
 
-  auto operator<=>(const caller_request &) const = default;
+  bool operator==(const caller_request &) const = default;
 };
 
 /// What a caller is told. There is no fourth outcome.
@@ -43,7 +43,7 @@
   /// Has a meaning for Completed only.
   http_answer Answer;
 
-  auto operator<=>(const caller_answer &) const = default;
+  bool operator==(const caller_answer &) const = default;
 };
 
 /// Answers callers, each exactly once.
@@ -63,7 +63,7 @@
   /// The claim to be replaced; 0 when there must be none.
   std::uint64_t Replaces = 0;
 
-  auto operator<=>(const claim_request &) const = default;
+  bool operator==(const claim_request &) const = default;
 };
 
 /// How a claim_request ended.
@@ -86,7 +86,7 @@
   /// The gate that the standing claim names.
   node_identity Gate;
 
-  auto operator<=>(const claim_result &) const = default;
+  bool operator==(const claim_result &) const = default;
 };
 
 /// Records claims in the platform by compare-and-swap.
@@ -116,7 +116,7 @@
   unsigned Attempts = 0;
   duration Taken{0};
 
-  auto operator<=>(const entry_report &) const = default;
+  bool operator==(const entry_report &) const = default;
 };
 
 /// Hears how each request ended, for spans, metrics and caller usage.
--- a/modules/clementine_request/entry/entry_service.h
+++ b/modules/clementine_request/entry/entry_service.h
@@ -41,7 +41,7 @@
   /// The share of traces that are sampled, from 0 to 1.
   double SampleShare = 0;
 
-  auto operator<=>(const entry_service_settings &) const = default;
+  bool operator==(const entry_service_settings &) const = default;
 };
 
 /// What an entry_service sends through; all outlive it.
--- a/modules/clementine_request/entry/service_directory.h
+++ b/modules/clementine_request/entry/service_directory.h
@@ -4,7 +4,6 @@
 #include "clementine_core/identity/identity.h"
 #include "clementine_routing/routes/route_candidate.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -19,7 +18,7 @@
   /// Where its node accepts links.
   endpoint Peer;
 
-  auto operator<=>(const service_instance &) const = default;
+  bool operator==(const service_instance &) const = default;
 };
 
 /// Which nodes stand beside the instances of each service, as one node sees it
--- a/modules/clementine_request/gate/gate_service.h
+++ b/modules/clementine_request/gate/gate_service.h
@@ -25,7 +25,7 @@
   /// When the parent's answer is no longer of use.
   instant Deadline;
 
-  auto operator<=>(const sub_call_context &) const = default;
+  bool operator==(const sub_call_context &) const = default;
 };
 
 /// What a sub-call brings back to its parent's run.
@@ -37,7 +37,7 @@
   /// The strictest admission level that it met.
   admission_level PathLevel;
 
-  auto operator<=>(const sub_call_end &) const = default;
+  bool operator==(const sub_call_end &) const = default;
 };
 
 /// Hears how each run at a gate ended, for spans and metrics.
@@ -58,7 +58,7 @@
   /// that a re-send can still join it.
   duration KeepRunning = std::chrono::seconds(10);
 
-  auto operator<=>(const gate_service_settings &) const = default;
+  bool operator==(const gate_service_settings &) const = default;
 };
 
 /// Runs requests on the upstream beside this node, the only way to reach it.
--- a/modules/clementine_request/gate/upstream_port.h
+++ b/modules/clementine_request/gate/upstream_port.h
@@ -18,7 +18,7 @@
   /// How long the call may take before it is broken off.
   duration Timeout{0};
 
-  auto operator<=>(const upstream_call &) const = default;
+  bool operator==(const upstream_call &) const = default;
 };
 
 /// How a call of the upstream ended.
@@ -40,7 +40,7 @@
   /// Has a meaning for Answered only.
   http_answer Answer;
 
-  auto operator<=>(const upstream_result &) const = default;
+  bool operator==(const upstream_result &) const = default;
 };
 
 /// Calls the upstream beside this node. Results come back later as events.
--- a/modules/clementine_request/ledger/run_ledger.h
+++ b/modules/clementine_request/ledger/run_ledger.h
@@ -31,7 +31,7 @@
   /// The most that one call may age the ledger.
   duration LongestStep = std::chrono::milliseconds(200);
 
-  auto operator<=>(const run_ledger_settings &) const = default;
+  bool operator==(const run_ledger_settings &) const = default;
 };
 
 /// How the ledger answers an attempt that asks to begin.
--- a/modules/clementine_request/tracing/hop_trace.h
+++ b/modules/clementine_request/tracing/hop_trace.h
@@ -5,7 +5,6 @@
 #include "clementine_telemetry/spans/trace_context.h"
 #include "clementine_telemetry/spans/trace_sampler.h"
 
-#include <compare>
 #include <optional>
 #include <string>
 
@@ -18,7 +17,7 @@
   /// The span that this one continues.
   std::optional<span_id> Parent;
 
-  auto operator<=>(const hop_trace &) const = default;
+  bool operator==(const hop_trace &) const = default;
 };
 
 /// Gives a hop its span.
--- a/modules/clementine_transport/session/peer_session.h
+++ b/modules/clementine_transport/session/peer_session.h
@@ -24,7 +24,7 @@
   /// The most bytes that wait to be written, in bytes.
   std::size_t MostWaitingBytes = 8U << 20U;
 
-  auto operator<=>(const peer_session_settings &) const = default;
+  bool operator==(const peer_session_settings &) const = default;
 };
 
 /// Why a peer connection has to be closed.
--- a/modules/clementine_wire/links/node_link.h
+++ b/modules/clementine_wire/links/node_link.h
@@ -4,7 +4,6 @@
 #include "clementine_core/clementine_core.h"
 #include "clementine_wire/messages/messages.h"
 
-#include <compare>
 #include <cstdint>
 
 namespace clementine {
@@ -29,7 +28,7 @@
   link_id Link = LocalLink;
   request_id Run;
 
-  auto operator<=>(const run_address &) const = default;
+  bool operator==(const run_address &) const = default;
 };
 
 /// Opens links to other nodes and sends on them; the narrow side of a transport
--- a/modules/clementine_wire/messages/messages.h
+++ b/modules/clementine_wire/messages/messages.h
@@ -43,7 +43,7 @@
   /// The W3C traceparent of the hop that sent this.
   std::string TraceParent;
 
-  auto operator<=>(const request_context &) const = default;
+  bool operator==(const request_context &) const = default;
 };
 
 /// One HTTP header field that passes from caller to upstream or back.
@@ -51,7 +51,7 @@
   std::string Name;
   std::string Value;
 
-  auto operator<=>(const header_field &) const = default;
+  bool operator==(const header_field &) const = default;
 };
 
 /// An HTTP request without its addressing.
@@ -60,7 +60,7 @@
   std::vector<header_field> Headers;
   std::string Body;
 
-  auto operator<=>(const http_payload &) const = default;
+  bool operator==(const http_payload &) const = default;
 };
 
 /// A whole HTTP answer of an upstream.
@@ -69,7 +69,7 @@
   std::vector<header_field> Headers;
   std::string Body;
 
-  auto operator<=>(const http_answer &) const = default;
+  bool operator==(const http_answer &) const = default;
 };
 
 /// Asks a node to run a request on its upstream.
@@ -85,7 +85,7 @@
   std::uint64_t Claim = 0;
   http_payload Payload;
 
-  auto operator<=>(const run_request &) const = default;
+  bool operator==(const run_request &) const = default;
 };
 
 /// Why a request was not run, or why what became of it is unknown.
@@ -167,7 +167,7 @@
   /// Whether the answering node is leaving.
   bool Leaving = false;
 
-  auto operator<=>(const run_answer &) const = default;
+  bool operator==(const run_answer &) const = default;
 };
 
 /// Asks what became of a request that was sent before.
@@ -183,21 +183,21 @@
   /// claim may never run, and answers NotRun for the reason Fenced.
   std::uint64_t Claim = 0;
 
-  auto operator<=>(const run_query &) const = default;
+  bool operator==(const run_query &) const = default;
 };
 
 /// Answers a query about a run of which the node holds no record.
 struct run_absent {
   request_id Run;
 
-  auto operator<=>(const run_absent &) const = default;
+  bool operator==(const run_absent &) const = default;
 };
 
 /// Withdraws interest in an attempt.
 struct run_cancel {
   request_id Run;
 
-  auto operator<=>(const run_cancel &) const = default;
+  bool operator==(const run_cancel &) const = default;
 };
 
 /// Proves that a connection still passes bytes.
@@ -205,7 +205,7 @@
   std::uint64_t Number = 0;
   bool IsReply = false;
 
-  auto operator<=>(const heartbeat &) const = default;
+  bool operator==(const heartbeat &) const = default;
 };
 
 /// The first message on a connection, in both directions.
@@ -215,21 +215,21 @@
   /// Random bytes that make the session's keys unique.
   std::string Nonce;
 
-  auto operator<=>(const hello &) const = default;
+  bool operator==(const hello &) const = default;
 };
 
 /// Asks a peer for what changed in the bundle since a version.
 struct bundle_fetch {
   std::uint64_t HaveVersion = 0;
 
-  auto operator<=>(const bundle_fetch &) const = default;
+  bool operator==(const bundle_fetch &) const = default;
 };
 
 /// Carries an encoded update of the bundle module.
 struct bundle_transfer {
   std::string Update;
 
-  auto operator<=>(const bundle_transfer &) const = default;
+  bool operator==(const bundle_transfer &) const = default;
 };
 
 /// Everything that one node may say to another over TCP.
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -30,6 +30,7 @@
   void kill();
 
   bool isRunning() const { return Id > 0; }
+  pid_t id() const { return Id; }
 
 private:
   int wait();
