Ledger tests: pauses, fences, full and forgotten

Cause: the mutant whose ledger ages by the clock survived the stateful test; such a pause between a fence and a late read is too rare for it. Change: unit tests of the ledger; virtual nodes that were paused read what waits on a broken link up to 30 ms late, so that a question can overtake it.

--- a/modules/clementine_node/platform/claim_duty.cpp
+++ b/modules/clementine_node/platform/claim_duty.cpp
@@ -42,7 +42,7 @@
   if (Store == nullptr || Clock.now() < TryAgainAt)
     return {Request.Call, claim_status::Unavailable, 0, {}};
   claim_store Claims(*Store, Random);
-  const claim_result Result = Claims.claim(Request);
+  claim_result Result = Claims.claim(Request);
   if (Result.Status == claim_status::Unavailable)
     TryAgainAt = Clock.now() + FailurePause;
   return Result;
--- a/modules/clementine_request/entry/entry_service.cpp
+++ b/modules/clementine_request/entry/entry_service.cpp
@@ -691,7 +691,7 @@
                                          const request_id &Run) {
   const entry_attempt *Found = findAttempt(Call, Run);
   assert(Found != nullptr && "an indexed attempt is held");
-  const entry_attempt Taken = *Found;
+  entry_attempt Taken = *Found;
   std::erase_if(Call.Attempts, [&](const entry_attempt &Attempt) {
     return Attempt.Run == Run;
   });
--- /dev/null
+++ b/tests/request/test_ledger.cpp
@@ -0,0 +1,86 @@
+#include <doctest/doctest.h>
+
+#include "clementine_request/ledger/run_ledger.h"
+
+using namespace clementine;
+using namespace std::chrono_literals;
+
+namespace {
+
+run_answer answerOf(run_outcome Outcome, const std::string &Body = "") {
+  run_answer Answer;
+  Answer.Outcome = Outcome;
+  Answer.Answer.Body = Body;
+  return Answer;
+}
+
+/// Lets time pass as an undisturbed node would.
+void passTime(run_ledger &Ledger, instant &Now, duration Time) {
+  for (const instant End = Now + Time; Now < End;) {
+    Now += 100ms;
+    Ledger.age(Now);
+  }
+}
+
+} // namespace
+
+TEST_CASE("a key runs once: others join, then get the answer") {
+  run_ledger Ledger({});
+  CHECK(Ledger.begin({1, 1}, "k", 0) == begin_verdict::Run);
+  CHECK(Ledger.begin({2, 2}, "k", 0) == begin_verdict::Join);
+  Ledger.end({1, 1}, answerOf(run_outcome::Completed, "done"));
+  CHECK(Ledger.begin({3, 3}, "k", 0) == begin_verdict::Ended);
+  CHECK(Ledger.answer(*Ledger.runOfKey("k"))->Answer.Body == "done");
+}
+
+TEST_CASE("a refusal leaves the key free, a fence does not") {
+  run_ledger Ledger({});
+  CHECK(Ledger.begin({1, 1}, "k", 5) == begin_verdict::Run);
+  Ledger.end({1, 1}, answerOf(run_outcome::NotRun));
+  CHECK(Ledger.fenceClaim("k", 5));
+  CHECK(Ledger.begin({2, 2}, "k", 5) == begin_verdict::Fenced);
+  CHECK(Ledger.begin({3, 3}, "k", 6) == begin_verdict::Run);
+  Ledger.end({3, 3}, answerOf(run_outcome::NotRun));
+  CHECK(Ledger.begin({4, 4}, "k", 5) == begin_verdict::Fenced);
+  CHECK(Ledger.fence({5, 5}));
+  CHECK(Ledger.begin({5, 5}, "", 0) == begin_verdict::Fenced);
+}
+
+TEST_CASE("a pause of any length forgets nothing") {
+  run_ledger Ledger({});
+  instant Now(1h);
+  Ledger.age(Now);
+  CHECK(Ledger.fence({1, 1}));
+  CHECK(Ledger.fenceClaim("k", 7));
+  Now += 100h;
+  Ledger.age(Now);
+  CHECK(Ledger.begin({1, 1}, "", 0) == begin_verdict::Fenced);
+  CHECK(Ledger.begin({2, 2}, "k", 7) == begin_verdict::Fenced);
+}
+
+TEST_CASE("an old key is remembered by its hash, then forgotten at last") {
+  run_ledger_settings Settings;
+  Settings.KeepKeyedRuns = 10s;
+  Settings.KeepPastKeys = 100s;
+  run_ledger Ledger(Settings);
+  instant Now(1h);
+  Ledger.age(Now);
+  CHECK(Ledger.begin({1, 1}, "k", 0) == begin_verdict::Run);
+  Ledger.end({1, 1}, answerOf(run_outcome::Completed));
+  passTime(Ledger, Now, 20s);
+  CHECK(Ledger.begin({2, 2}, "k", 0) == begin_verdict::Forgotten);
+  CHECK_FALSE(Ledger.fenceClaim("k", 9));
+  CHECK(Ledger.keyedRuns() == 0);
+}
+
+TEST_CASE("a full ledger refuses new keys and keeps the old ones") {
+  run_ledger_settings Settings;
+  Settings.MostKeyedRuns = 2;
+  run_ledger Ledger(Settings);
+  CHECK(Ledger.begin({1, 1}, "a", 0) == begin_verdict::Run);
+  CHECK(Ledger.begin({2, 2}, "b", 0) == begin_verdict::Run);
+  CHECK(Ledger.begin({3, 3}, "c", 0) == begin_verdict::Full);
+  CHECK_FALSE(Ledger.fenceClaim("c", 1));
+  CHECK(Ledger.begin({4, 4}, "a", 0) == begin_verdict::Join);
+  CHECK(Ledger.begin({5, 5}, "", 0) == begin_verdict::Run);
+}
--- a/tests/request/virtual_nodes.cpp
+++ b/tests/request/virtual_nodes.cpp
@@ -27,6 +27,8 @@
   bool IsUp = false;
   bool IsBroken = false;
   instant LastArrival{};
+  /// How late a node that was paused reads what waits on a broken link.
+  duration ReadLag{0};
 };
 
 struct virtual_world::virtual_node final : public peer_port,
@@ -248,6 +250,7 @@
   Link->To = Remote.Port;
   Link->FromId = Id;
   Link->FromLife = Nodes[From]->Life;
+  Link->ReadLag = delay() * 10;
   Nodes[From]->Links[Id] = Link;
   after(delay(), [this, Link] {
     // A paused or cut peer does not shake hands.
@@ -291,20 +294,33 @@
   }
   // What has left arrives, also at a node that is paused meanwhile.
   Link->LastArrival = std::max(Link->LastArrival, Now + delay());
-  onNode(To, Link->LastArrival - Now,
-         [this, Link, To, FromDialler, Message = std::move(Message)] {
-           virtual_node &Node = *Nodes[To];
-           const std::uint64_t Life =
-               FromDialler ? Link->ToLife : Link->FromLife;
-           if (Node.Life != Life)
-             return;
-           Node.Engine->messageArrived(FromDialler ? Link->ToId : Link->FromId,
-                                       Message, Now);
-         });
+  arriveOn(Link, To, Link->LastArrival - Now,
+           [this, Link, To, FromDialler, Message = std::move(Message)] {
+             virtual_node &Node = *Nodes[To];
+             const std::uint64_t Life =
+                 FromDialler ? Link->ToLife : Link->FromLife;
+             if (Node.Life != Life)
+               return;
+             Node.Engine->messageArrived(
+                 FromDialler ? Link->ToId : Link->FromId, Message, Now);
+           });
   if (Now < Nodes[To]->PausedUntil)
     breakLink(Link, SilenceLimit);
 }
 
+void virtual_world::arriveOn(const std::shared_ptr<virtual_link> &Link,
+                             std::size_t To, duration Delay, task Work) {
+  after(Delay, [this, Link, To, Work = std::move(Work)] {
+    const instant PausedUntil = Nodes[To]->PausedUntil;
+    if (Now >= PausedUntil)
+      Work();
+    else
+      arriveOn(Link, To,
+               PausedUntil - Now + (Link->IsBroken ? Link->ReadLag : 0ms),
+               Work);
+  });
+}
+
 void virtual_world::closeLink(std::size_t From, link_id Id) {
   if (const auto Found = Nodes[From]->Links.find(Id);
       Found != Nodes[From]->Links.end())
--- a/tests/request/virtual_nodes.h
+++ b/tests/request/virtual_nodes.h
@@ -102,6 +102,8 @@
   bool isCut(std::size_t Left, std::size_t Right) const;
   void openLink(std::size_t From, link_id Link, const endpoint &Remote);
   void sendOn(std::size_t From, link_id Link, peer_message Message);
+  void arriveOn(const std::shared_ptr<virtual_link> &Link, std::size_t To,
+                duration Delay, task Work);
   void closeLink(std::size_t From, link_id Link);
   void breakLink(const std::shared_ptr<virtual_link> &Link, duration Delay);
   void callUpstream(std::size_t Node, upstream_call Call);
