--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -144,7 +144,7 @@
 }
 
 std::string deployment::writeSettings(const vm_plan &Plan) const {
-  const std::string File = Folder + "/" + Plan.Name + ".ini";
+  std::string File = Folder + "/" + Plan.Name + ".ini";
   std::ofstream Ini(File);
   Ini << "[node]\nname = " << Plan.Name << "\ndata_centre = " << Plan.DataCentre
       << "\nhttp_listen = " << hostPort(Plan.Host, HttpPort)
--- a/tests/request/virtual_nodes.cpp
+++ b/tests/request/virtual_nodes.cpp
@@ -51,10 +51,10 @@
     World.answer(Index, std::move(Answer));
   }
   void requestClaim(claim_request Request) override {
-    World.claim(Index, std::move(Request));
+    World.claim(Index, Request);
   }
   void callUpstream(upstream_call Call) override {
-    World.callUpstream(Index, std::move(Call));
+    World.callUpstream(Index, Call);
   }
   void cancelUpstream(const request_id &Token) override {
     if (UpstreamCalls.erase(Token) == 0)
@@ -346,7 +346,7 @@
 
 // The upstreams.
 
-void virtual_world::callUpstream(std::size_t Index, upstream_call Call) {
+void virtual_world::callUpstream(std::size_t Index, const upstream_call &Call) {
   virtual_node &Node = *Nodes[Index];
   const request_id Token = Call.Token;
   if (Node.RefusesNext) {
@@ -408,9 +408,10 @@
 
 // The platform.
 
-void virtual_world::claim(std::size_t Index, claim_request Request) {
+void virtual_world::claim(std::size_t Index, const claim_request &Request) {
   const std::uint64_t Life = Nodes[Index]->Life;
-  const auto Tell = [this, Index, Life](claim_result Result, duration Delay) {
+  const auto Tell = [this, Index, Life](const claim_result &Result,
+                                        duration Delay) {
     onNode(Index, Delay, [this, Index, Life, Result] {
       if (Nodes[Index]->Life == Life)
         Nodes[Index]->Engine->claimEnded(Result, Now);
--- a/tests/request/virtual_nodes.h
+++ b/tests/request/virtual_nodes.h
@@ -106,9 +106,9 @@
                 duration Delay, task Work);
   void closeLink(std::size_t From, link_id Link);
   void breakLink(const std::shared_ptr<virtual_link> &Link, duration Delay);
-  void callUpstream(std::size_t Node, upstream_call Call);
+  void callUpstream(std::size_t Node, const upstream_call &Call);
   void finishUpstream(std::size_t Node, const request_id &Token);
-  void claim(std::size_t Node, claim_request Request);
+  void claim(std::size_t Node, const claim_request &Request);
   void answer(std::size_t Node, caller_answer Answer);
   duration delay();
 
--- a/tests/transport/test_peer_session.cpp
+++ b/tests/transport/test_peer_session.cpp
@@ -24,7 +24,7 @@
                  ringOf(AcceptorKey), Random, {}, Start) {}
 
   static std::string take(peer_session &Session) {
-    const std::string Bytes(Session.output());
+    std::string Bytes(Session.output());
     Session.consumeOutput(Bytes.size());
     return Bytes;
   }
