Entry: what may be repeated is run again once its link breaks

Ruled out: dialling less patiently; only a request that may not be repeated gains from asking the same node. Change: a repeatable attempt is given up, and retried in its budget, when its link breaks. The first test (a node restarts at once) passed before the change as well, so it was replaced by a node that falls silent.

--- a/modules/clementine_request/entry/entry_service.cpp
+++ b/modules/clementine_request/entry/entry_service.cpp
@@ -506,7 +506,11 @@
     }
     if (Peer)
       Attempt->Node.Incarnation = Peer->Incarnation;
-    loseAttempt(*Attempt, Now);
+    // What may be repeated is sooner run again than asked for.
+    if (Call->Repeatable && !Attempt->IsLookUp)
+      giveUp(Call, Run, refusal::ConnectionLost, Now);
+    else
+      loseAttempt(*Attempt, Now);
   }
 }
 
--- a/tests/request/test_engine.cpp
+++ b/tests/request/test_engine.cpp
@@ -164,6 +164,20 @@
   CHECK(World.Runs.size() == 2);
 }
 
+TEST_CASE("a repeatable request whose node falls silent is run elsewhere") {
+  for (std::uint64_t Seed = 1; Seed <= 8; ++Seed) {
+    virtual_world World(worldOf(Seed));
+    World.run(1s);
+    World.send(4, "mobile", "read", "k", 1, send_number::First);
+    World.run(8ms);
+    World.pause(Seed % 3, 10s);
+    World.run(1300ms);
+    REQUIRE(World.Told.size() == 1);
+    CHECK(World.Told[0].Answer.Outcome == run_outcome::Completed);
+    CHECK(faultOf(World) == "");
+  }
+}
+
 TEST_CASE("a draining node takes no new run and finishes the old one") {
   virtual_world World(worldOf(5));
   World.run(1s);
