--- a/tests/settings/test_settings_page.cpp
+++ b/tests/settings/test_settings_page.cpp
@@ -70,3 +70,27 @@
   }
   CHECK(Files >= 2);
 }
+
+TEST_CASE("the settings of the baselines are valid") {
+  const std::string Base = R"([node]
+name = a
+data_centre = b
+http_listen = 127.0.0.1:1000
+peer_listen = 127.0.0.1:1001
+gossip_listen = 127.0.0.1:1002
+admin_listen = 127.0.0.1:1003
+[upstream]
+service = c
+[security]
+peer_keys = k:AQIDBAUGBwgJCgsMDQ4PEBESExQVFhcYGRobHB0eHyA=
+)";
+  for (const std::string Name : {"no-control", "static-limit"}) {
+    std::ifstream File(std::string(CLEMENTINE_SOURCE_DIR) +
+                       "/examples/deployments/node-" + Name + ".ini");
+    REQUIRE(File.good());
+    const std::string Overlay((std::istreambuf_iterator<char>(File)), {});
+    const auto Settings = readSettings(Base + Overlay, Name);
+    CAPTURE(Settings.has_error() ? Settings.error().Errors[0].text() : Name);
+    CHECK(Settings.has_value());
+  }
+}
