Frontend: announcements are checked, a session never outlives its wait

Cause: a port of 70000 wrapped to 4464, a service's name could be longer than membership spreads, and a caller whose wait ended stayed in the table. Ruled out: leaving the check to membership, which would drop the news silently. Conclusion: announcements are still believed from any address that reaches the port; that is open.

--- a/modules/clementine_node/callers/caller_frontend.cpp
+++ b/modules/clementine_node/callers/caller_frontend.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::minutes LongestWait{5};
 constexpr std::int64_t MostTimeoutMilliseconds = 240000;
 constexpr std::size_t LongestNameInPath = 64;
+/// The longest name of a service that membership spreads.
+constexpr std::size_t LongestService = 48;
+constexpr std::int64_t MostPort = 65535;
 /// When a caller that was refused for load should come again.
 constexpr std::string_view RetryAfterSeconds = "1";
 
@@ -195,6 +198,9 @@
   if (Session->Arrived.wait_for(Lock, LongestWait,
                                 [&] { return Session->Answer.has_value(); }))
     return *Session->Answer;
+  Lock.unlock();
+  const std::lock_guard TableLock(Mutex);
+  Sessions.erase(Call);
   Refused.Outcome = run_outcome::Unknown;
   Refused.Reason = refusal::DeadlinePassed;
   return Refused;
@@ -227,16 +233,20 @@
   if (!Json.is_object())
     return plain(400, "an announcement is a JSON object\n");
   upstream_announcement Upstream;
+  std::int64_t Port = 0;
   try {
     Upstream.Service = Json.at("service").get<std::string>();
     Upstream.Address.Host = Json.at("host").get<std::string>();
-    Upstream.Address.Port = Json.at("port").get<std::uint16_t>();
+    Port = Json.at("port").get<std::int64_t>();
     Upstream.IsCold = Json.value("cold", false);
   } catch (const nlohmann::json::exception &) {
     return plain(400, "an announcement needs service, host and port\n");
   }
-  if (Upstream.Service.empty() || Upstream.Service.size() > LongestNameInPath)
-    return plain(400, "the service's name has to have 1 to 64 characters\n");
+  if (Upstream.Service.empty() || Upstream.Service.size() > LongestService)
+    return plain(400, "the service's name has to have 1 to 48 characters\n");
+  if (Port < 1 || Port > MostPort)
+    return plain(400, "the port has to be 1 to 65535\n");
+  Upstream.Address.Port = static_cast<std::uint16_t>(Port);
   Listener.upstreamAnnounced(Upstream);
   return plain(200, "announced\n");
 }
