--- a/apps/clementined/main.cpp
+++ b/apps/clementined/main.cpp
@@ -1,8 +1,10 @@
 /// The daemon: runs one node until it is told to stop.
 
 #include "clementine_node/clementine_node.h"
+#include "clementine_proxy/clementine_proxy.h"
 #include "clementine_settings/clementine_settings.h"
 #include "clementine_telemetry/clementine_telemetry.h"
+#include "users_platform.h"
 
 #include <exception>
 #include <iostream>
@@ -25,6 +27,7 @@
 struct options {
   std::string SettingsFile;
   bool OnlyChecks = false;
+  bool IsProxy = false;
 };
 
 options readOptions(int Count, char **Arguments) {
@@ -35,8 +38,12 @@
                                     "", "FILE.ini", Line);
   TCLAP::SwitchArg Check("", "check-settings", "Checks the settings and ends.",
                          Line);
+  TCLAP::SwitchArg Proxy("", "proxy",
+                         "Runs the proxy node of the users' platform; its "
+                         "settings have other keys.",
+                         Line);
   Line.parse(Count, Arguments);
-  return {File.getValue(), Check.getValue()};
+  return {File.getValue(), Check.getValue(), Proxy.getValue()};
 }
 
 log_level levelOf(log_threshold Threshold) {
@@ -70,16 +77,55 @@
   return Node.stop() ? CleanExitCode : UnfinishedExitCode;
 }
 
+int reportFaults(const settings_errors &Faults) {
+  for (const settings_error &Error : Faults.Errors)
+    std::cerr << Error.text() << '\n';
+  return SettingsFaultyExitCode;
+}
+
+/// Reads the settings again and says what became of them. What a node listens
+/// on and stands beside holds as long as it runs.
+void reloadProxySettings(const std::string &File,
+                         const proxy::proxy_settings &Present,
+                         const logger &Log) {
+  const auto Settings = proxy::loadProxySettings(File);
+  if (!Settings)
+    Log.error("settings not usable; the present ones stay in force",
+              {{"error", Settings.error().Errors.front().text()}});
+  else if (Settings.value() == Present)
+    Log.info("settings reloaded without a change");
+  else
+    Log.warning("settings have changed; they take effect at the next start");
+}
+
+int runProxy(const options &Options) {
+  const auto Settings = proxy::loadProxySettings(Options.SettingsFile);
+  if (!Settings)
+    return reportFaults(Settings.error());
+  if (Options.OnlyChecks)
+    return CleanExitCode;
+  const sigset_t Signals = blockStopSignals();
+  const log_output Output(standardOutputStream(),
+                          levelOf(Settings.value().LogLevel));
+  const auto Platform = makeUsersPlatform(Settings.value().StoreAddress);
+  proxy::proxy_node Node(Settings.value(), *Platform);
+  Node.start();
+  const logger Log("daemon");
+  int Signal = 0;
+  while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP)
+    reloadProxySettings(Options.SettingsFile, Settings.value(), Log);
+  return Node.stop() ? CleanExitCode : UnfinishedExitCode;
+}
+
 int runDaemon(int Count, char **Arguments) {
   const options Options = readOptions(Count, Arguments);
+  if (Options.IsProxy)
+    return runProxy(Options);
   if (Options.OnlyChecks)
     return checkSettings(Options.SettingsFile, std::cerr);
   const auto Settings = loadSettings(Options.SettingsFile);
-  if (Settings.has_error()) {
-    for (const settings_error &Error : Settings.error().Errors)
-      std::cerr << Error.text() << '\n';
-    return SettingsFaultyExitCode;
-  }
+  if (Settings.has_error())
+    return reportFaults(Settings.error());
   const sigset_t Signals = blockStopSignals();
   curl_global_init(CURL_GLOBAL_ALL);
   const int Code = runNode(Settings.value(), Signals);
--- a/modules/clementine_platform/etcd/http_channel.cpp
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -58,14 +58,28 @@
   result<answer, platform_error> post(const std::string &Url,
                                       const std::string &Body) {
     prepare(Url, Body);
-    curl_easy_setopt(
-        Easy, CURLOPT_TIMEOUT_MS,
-        milliseconds(duration_cast<milliseconds>(Limits.CallTimeout)).count());
-    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &handle::keepWhole);
-    const CURLcode Code = curl_easy_perform(Easy);
-    if (Code != CURLE_OK)
-      return failureOf(Code);
-    return answer{status(), std::move(Received)};
+    return performWhole(Limits.CallTimeout);
+  }
+
+  result<answer, platform_error> get(const std::string &Url,
+                                     duration CallTimeout,
+                                     const std::atomic<bool> *Stopping) {
+    prepare(Url, "");
+    curl_easy_setopt(Easy, CURLOPT_HTTPGET, 1L);
+    if (Stopping != nullptr) {
+      curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, &handle::stopsHere);
+      curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, Stopping);
+      curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
+    }
+    return performWhole(CallTimeout > duration(0) ? CallTimeout
+                                                  : Limits.CallTimeout);
+  }
+
+  result<answer, platform_error> remove(const std::string &Url) {
+    prepare(Url, "");
+    curl_easy_setopt(Easy, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+    return performWhole(Limits.CallTimeout);
   }
 
   result<void, platform_error> stream(const std::string &Url,
@@ -96,6 +110,22 @@
   }
 
 private:
+  result<answer, platform_error> performWhole(duration CallTimeout) {
+    curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
+                     duration_cast<milliseconds>(CallTimeout).count());
+    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &handle::keepWhole);
+    const CURLcode Code = curl_easy_perform(Easy);
+    if (Code != CURLE_OK)
+      return failureOf(Code);
+    return answer{status(), std::move(Received)};
+  }
+
+  static int stopsHere(void *User, curl_off_t /*DownloadTotal*/,
+                       curl_off_t /*Downloaded*/, curl_off_t /*UploadTotal*/,
+                       curl_off_t /*Uploaded*/) {
+    return *static_cast<const std::atomic<bool> *>(User) ? 1 : 0;
+  }
+
   void prepare(const std::string &Url, const std::string &Body) {
     curl_easy_reset(Easy);
     Received.clear();
@@ -275,6 +305,29 @@
   return Answer;
 }
 
+result<http_channel::answer, platform_error>
+http_channel::get(const std::string &Path, duration CallTimeout,
+                  const std::atomic<bool> *Stopping) {
+  auto Handle = borrow();
+  auto Answer = Handle->get(BaseUrl + Path, CallTimeout, Stopping);
+  giveBack(std::move(Handle));
+  if (!Answer) {
+    // Reading changes nothing.
+    platform_error Error = Answer.error();
+    Error.Effect = platform_effect::NotApplied;
+    return Error;
+  }
+  return Answer;
+}
+
+result<http_channel::answer, platform_error>
+http_channel::remove(const std::string &Path) {
+  auto Handle = borrow();
+  auto Answer = Handle->remove(BaseUrl + Path);
+  giveBack(std::move(Handle));
+  return Answer;
+}
+
 result<void, platform_error>
 http_channel::stream(const std::string &Path, const std::string &Body,
                      const line_listener &Listener,
--- a/modules/clementine_platform/etcd/http_channel.h
+++ b/modules/clementine_platform/etcd/http_channel.h
@@ -58,6 +58,16 @@
   result<answer, platform_error> post(const std::string &Path,
                                       const std::string &Body);
 
+  /// Asks for @p Path and waits for the whole answer, whatever its status.
+  /// @param CallTimeout the time allowed; 0 for that of the limits.
+  /// @param Stopping may be null; once true, the call ends within a second.
+  result<answer, platform_error>
+  get(const std::string &Path, duration CallTimeout = duration(0),
+      const std::atomic<bool> *Stopping = nullptr);
+
+  /// Sends DELETE for @p Path and waits for the whole answer.
+  result<answer, platform_error> remove(const std::string &Path);
+
   /// Posts @p Body and hands each line of the answer to @p Listener until it
   /// declines, @p Stopping turns true or the stream breaks.
   /// @returns success if it was ended from this side.
--- /dev/null
+++ b/modules/clementine_proxy/clementine_proxy.h
@@ -0,0 +1,29 @@
+#ifndef CLEMENTINE_PROXY_CLEMENTINE_PROXY_H
+#define CLEMENTINE_PROXY_CLEMENTINE_PROXY_H
+
+/// The node of a deployment that speaks plain HTTP on every side: routing,
+/// forwarding between nodes, the gate of the instance beside the node.
+///
+/// Needs clementine_core, clementine_admission, clementine_platform,
+/// clementine_settings, clementine_telemetry, clementine_wire, Boost.Asio,
+/// Boost.Beast, cereal and nlohmann-json.
+
+#include "clementine_proxy/entry/forwarder.h"
+#include "clementine_proxy/entry/instance_directory.h"
+#include "clementine_proxy/entry/repeat_budget.h"
+#include "clementine_proxy/gate/instance_book.h"
+#include "clementine_proxy/gate/instance_client.h"
+#include "clementine_proxy/gate/instance_gate.h"
+#include "clementine_proxy/http/header_names.h"
+#include "clementine_proxy/http/http_session.h"
+#include "clementine_proxy/http/message_reader.h"
+#include "clementine_proxy/http/messages.h"
+#include "clementine_proxy/model/boot_clock.h"
+#include "clementine_proxy/model/instance_record.h"
+#include "clementine_proxy/model/routing_config.h"
+#include "clementine_proxy/node/deployment_adapter.h"
+#include "clementine_proxy/node/proxy_node.h"
+#include "clementine_proxy/peers/peer_messages.h"
+#include "clementine_proxy/settings/proxy_settings.h"
+
+#endif
--- /dev/null
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -0,0 +1,339 @@
+#include "clementine_proxy/entry/forwarder.h"
+
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <set>
+#include <utility>
+
+namespace clementine::proxy {
+
+namespace {
+
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+const logger &log() {
+  static const logger Log("entry");
+  return Log;
+}
+
+std::string secondsText(duration Span) {
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), "%.3f",
+                std::chrono::duration<double>(Span).count());
+  return Text;
+}
+
+} // namespace
+
+forwarder::forwarder(forwarder_settings Settings, const header_names &Names,
+                     instance_directory &Directory, forward_port &Port,
+                     random_source &Random)
+    : Settings(std::move(Settings)), Names(Names), Directory(Directory),
+      Port(Port), Random(Random) {}
+
+forwarder::~forwarder() = default;
+
+bool forwarder::setConfig(std::shared_ptr<const routing_config> Newer) {
+  if (Config && Newer->Version <= Config->Version)
+    return false;
+  Config = std::move(Newer);
+  return true;
+}
+
+std::optional<duration> forwarder::patienceOf(const request &Request) const {
+  const auto Text = findHeader(Request.Headers, Names.Deadline);
+  std::int64_t Value = 0;
+  if (!Text ||
+      std::from_chars(Text->data(), Text->data() + Text->size(), Value).ec !=
+          std::errc() ||
+      Value < 0)
+    return std::nullopt;
+  constexpr std::int64_t LongestPatience = 3600 * 1000;
+  return milliseconds(std::min(Value, LongestPatience));
+}
+
+void forwarder::begin(call_number Number, request Request, instant Now) {
+  auto Call = std::make_shared<call>();
+  Call->Number = Number;
+  Call->RequestId = findHeader(Request.Headers, Names.RequestId).value_or("");
+  Call->ArrivedAt = Now;
+  Call->WakeAt = instant::max();
+  Call->Config = Config;
+  Calls.emplace(Number, Call);
+  if (!Config)
+    return finish(*Call, ownAnswer(*Call, Unavailable, true), "no-config", Now);
+  const auto Host = findHeader(Request.Headers, "Host").value_or("");
+  Call->Route = Config->find(Host, Request.path());
+  if (Call->Route == nullptr)
+    return finish(*Call, ownAnswer(*Call, NotFound, false), "no-route", Now);
+  if (Call->RequestId.empty())
+    return finish(*Call, ownAnswer(*Call, BadRequest, false), "no-id", Now);
+  const auto &Services = Call->Route->Services;
+  Call->Service = Services[Rotations[Call->Route->Name].next(Services)].Service;
+  Call->TimeoutAt =
+      Now + std::min<duration>(Call->Route->Timeout,
+                               patienceOf(Request).value_or(duration::max()));
+  removeConnectionHeaders(Request.Headers);
+  removeHeader(Request.Headers, Names.Deadline);
+  removeHeader(Request.Headers, Names.ExpectedInstance);
+  removeHeader(Request.Headers, Names.CallerService);
+  Request.Headers.emplace_back(Names.CallerService, Settings.OwnService);
+  Call->Request = std::move(Request);
+  Budgets.try_emplace(Call->Service, Settings.Repeats)
+      .first->second.request(Now);
+  offerNext(Call, Now);
+}
+
+void forwarder::offerNext(const call_pointer &Call, instant Now) {
+  if (Now >= Call->TimeoutAt)
+    return giveUp(Call, Now);
+  const known_gate *Gate =
+      Call->Offers < Settings.MaxOffers
+          ? Directory.choose(Call->Service, Call->Tried, Now)
+          : nullptr;
+  if (Gate == nullptr) {
+    const bool Parks =
+        Call->Offers == 0 && Now - Call->ArrivedAt < Settings.ParkingTime;
+    if (!Parks)
+      return giveUp(Call, Now);
+    return wakeAt(*Call, std::min(Now + Settings.ParkingPoll, Call->TimeoutAt));
+  }
+  attempt Attempt;
+  Attempt.Id = {Random.next(), Random.next()};
+  Attempt.Node = Gate->Record.Node;
+  Call->Attempt = Attempt;
+  Call->Tried.push_back(Attempt.Node);
+  ++Call->Offers;
+  ByAttempt[Attempt.Id] = Call;
+  wakeAt(*Call, Call->TimeoutAt);
+  Directory.sent(Attempt.Node);
+  if (Port.openLink(Gate->Record)) {
+    Call->Attempt->Incarnation = Gate->Record.Incarnation;
+    sendAttempt(*Call, Now);
+  }
+}
+
+void forwarder::sendAttempt(call &Call, instant Now) {
+  run_order Order;
+  Order.Attempt = Call.Attempt->Id;
+  Order.Service = Call.Service;
+  Order.Priority = Call.Route->Priority;
+  Order.IsIdempotent = Call.Route->IsIdempotent;
+  Order.TimeLeft = duration_cast<microseconds>(Call.TimeoutAt - Now).count();
+  Order.Request = Call.Request;
+  Call.Attempt->IsSent = true;
+  Port.send(Call.Attempt->Node, std::move(Order));
+}
+
+void forwarder::reported(const std::string &Node, run_report Report,
+                         instant Now) {
+  Directory.status(Node, Report.Gate);
+  const auto Found = ByAttempt.find(Report.Attempt);
+  if (Found == ByAttempt.end())
+    return;
+  const call_pointer Call = Found->second;
+  attemptEnded(Call, Report, Now);
+}
+
+void forwarder::attemptEnded(const call_pointer &Call, run_report &Report,
+                             instant Now) {
+  const attempt Ended = *Call->Attempt;
+  Call->Attempt.reset();
+  ByAttempt.erase(Ended.Id);
+  const bool HasFailed = Report.Outcome == run_outcome::Unknown ||
+                         (Report.Outcome == run_outcome::Completed &&
+                          Report.Response.Status >= FirstServerError);
+  Directory.ended(Ended.Node, Report.Outcome, Report.Cause, HasFailed, Now);
+  if (Report.ReachedInstance)
+    ++Call->Arrivals;
+  Call->LastCause = Report.Cause;
+  if (Report.Outcome == run_outcome::Completed)
+    return finish(*Call, std::move(Report.Response), "completed", Now);
+  if (Report.Outcome == run_outcome::Unknown)
+    Call->MayHaveRun = true;
+  if (Ended.IsCancelled || !mayRepeat(*Call, Report, Now))
+    return giveUp(Call, Now);
+  offerNext(Call, Now);
+}
+
+bool forwarder::mayRepeat(call &Call, const run_report &Report, instant Now) {
+  if (Now >= Call.TimeoutAt || Call.Offers >= Settings.MaxOffers)
+    return false;
+  if (Report.Outcome == run_outcome::Unknown && !Call.Route->IsIdempotent)
+    return false;
+  if (!Report.ReachedInstance && Call.Arrivals == 0)
+    return true;
+  return Call.Arrivals < Call.Route->MaxAttempts &&
+         Budgets.at(Call.Service).take(Now);
+}
+
+void forwarder::giveUp(const call_pointer &Call, instant Now) {
+  if (Call->Attempt) {
+    attempt &Attempt = *Call->Attempt;
+    if (Attempt.IsSent && !Attempt.IsCancelled) {
+      // Only the gate knows whether it has begun.
+      Attempt.IsCancelled = true;
+      wakeAt(*Call, Now + Settings.CancelGrace);
+      return Port.send(Attempt.Node, run_cancel{Attempt.Id, true});
+    }
+    Directory.ended(Attempt.Node, run_outcome::Unknown, run_cause::Cancelled,
+                    false, Now);
+    Call->MayHaveRun = Call->MayHaveRun || Attempt.IsSent;
+    ByAttempt.erase(Attempt.Id);
+    Call->Attempt.reset();
+  }
+  if (!Call->MayHaveRun)
+    return finish(*Call, ownAnswer(*Call, Unavailable, true), "not-run", Now);
+  const unsigned Status = Now >= Call->TimeoutAt ? GatewayTimeout : BadGateway;
+  finish(*Call, ownAnswer(*Call, Status, false), "unknown", Now);
+}
+
+response forwarder::ownAnswer(const call &Call, unsigned Status,
+                              bool SaysWhenToRetry) const {
+  response Response;
+  Response.Status = Status;
+  if (!Call.RequestId.empty())
+    Response.Headers.emplace_back(Names.RequestId, Call.RequestId);
+  if (SaysWhenToRetry)
+    Response.Headers.emplace_back("Retry-After",
+                                  secondsText(Settings.RetryAfter));
+  return Response;
+}
+
+void forwarder::finish(call &Call, response Response, std::string_view Verdict,
+                       instant Now) {
+  log().info(
+      "request answered",
+      {{"id", Call.RequestId},
+       {"route", Call.Route == nullptr ? "" : Call.Route->Name},
+       {"service", Call.Service},
+       {"config", Call.Config ? Call.Config->Version : 0},
+       {"status", Response.Status},
+       {"verdict", Verdict},
+       {"cause", runCauseName(Call.LastCause)},
+       {"last", Call.Tried.empty() ? "" : Call.Tried.back()},
+       {"offers", Call.Offers},
+       {"arrivals", Call.Arrivals},
+       {"ms", duration_cast<milliseconds>(Now - Call.ArrivedAt).count()}});
+  const call_number Number = Call.Number;
+  erase(Call);
+  Port.answer(Number, std::move(Response));
+}
+
+void forwarder::erase(call &Call) {
+  wakeAt(Call, instant::max());
+  if (Call.Attempt)
+    ByAttempt.erase(Call.Attempt->Id);
+  Calls.erase(Call.Number);
+}
+
+void forwarder::callerGone(call_number Number, instant Now) {
+  const auto Found = Calls.find(Number);
+  if (Found == Calls.end())
+    return;
+  const call_pointer Call = Found->second;
+  log().info("caller left",
+             {{"id", Call->RequestId}, {"service", Call->Service}});
+  if (Call->Attempt) {
+    if (Call->Attempt->IsSent)
+      Port.send(Call->Attempt->Node,
+                run_cancel{Call->Attempt->Id, Call->Route->IsIdempotent});
+    Directory.ended(Call->Attempt->Node, run_outcome::NotRun,
+                    run_cause::Cancelled, false, Now);
+  }
+  erase(*Call);
+}
+
+void forwarder::linkUp(const std::string &Node, std::uint64_t Incarnation,
+                       instant Now) {
+  std::vector<call_pointer> Waiting;
+  for (const auto &[Id, Call] : ByAttempt)
+    if (Call->Attempt && Call->Attempt->Node == Node)
+      Waiting.push_back(Call);
+  for (const call_pointer &Call : Waiting) {
+    attempt &Attempt = *Call->Attempt;
+    if (!Attempt.IsSent) {
+      Attempt.Incarnation = Incarnation;
+      sendAttempt(*Call, Now);
+    } else if (Attempt.Incarnation == Incarnation) {
+      Port.send(Node, run_query{Attempt.Id});
+    } else {
+      run_report Report;
+      Report.Outcome = run_outcome::Unknown;
+      Report.Cause = run_cause::LinkLost;
+      Report.ReachedInstance = true;
+      attemptEnded(Call, Report, Now);
+    }
+  }
+}
+
+void forwarder::linkDown(const std::string &Node, bool WasUp, instant Now) {
+  Directory.down(Node, Now);
+  std::vector<call_pointer> Unsent;
+  for (const auto &[Id, Call] : ByAttempt)
+    if (Call->Attempt && Call->Attempt->Node == Node && !Call->Attempt->IsSent)
+      Unsent.push_back(Call);
+  for (const call_pointer &Call : Unsent) {
+    run_report Report;
+    Report.Cause = run_cause::Unreachable;
+    attemptEnded(Call, Report, Now);
+  }
+  // What was sent is asked for on a new link.
+  if (WasUp)
+    reopenLinks();
+}
+
+void forwarder::reopenLinks() {
+  std::set<std::string> Owing;
+  for (const auto &[Id, Call] : ByAttempt)
+    if (Call->Attempt && Call->Attempt->IsSent)
+      Owing.insert(Call->Attempt->Node);
+  for (const std::string &Node : Owing)
+    if (const known_gate *Gate = Directory.find(Node))
+      Port.openLink(Gate->Record);
+}
+
+void forwarder::passTime(instant Now) {
+  while (!Wakes.empty() && Wakes.begin()->first <= Now) {
+    const call_pointer Call = Calls.at(Wakes.begin()->second);
+    wakeAt(*Call, instant::max());
+    if (Call->Attempt || Now >= Call->TimeoutAt)
+      giveUp(Call, Now);
+    else
+      offerNext(Call, Now);
+  }
+}
+
+std::optional<instant> forwarder::nextWake() const {
+  if (Wakes.empty())
+    return std::nullopt;
+  return Wakes.begin()->first;
+}
+
+void forwarder::wakeAt(call &Call, instant Time) {
+  if (Call.WakeAt != instant::max()) {
+    auto [Begin, End] = Wakes.equal_range(Call.WakeAt);
+    for (auto Each = Begin; Each != End; ++Each)
+      if (Each->second == Call.Number) {
+        Wakes.erase(Each);
+        break;
+      }
+  }
+  Call.WakeAt = Time;
+  if (Time != instant::max())
+    Wakes.emplace(Time, Call.Number);
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/entry/instance_directory.cpp
@@ -0,0 +1,158 @@
+#include "clementine_proxy/entry/instance_directory.h"
+
+#include <algorithm>
+
+namespace clementine::proxy {
+
+namespace {
+
+/// The weight of the newest run in a gate's share of failures.
+constexpr double FailureWeight = 0.05;
+/// The load that a certain failure is worth.
+constexpr double FailureCost = 2.0;
+/// From this load on a gate is close to queueing and its cost rises faster.
+constexpr double BusyLoad = 0.85;
+constexpr double BusySlope = 3.0;
+/// Costs that keep a gate out while another one is left.
+constexpr double RefusedCost = 20.0;
+constexpr double DownCost = 100.0;
+/// Spreads equal gates.
+constexpr double Jitter = 0.05;
+
+} // namespace
+
+bool known_gate::takesWork() const {
+  return Status ? !Status->Instance.empty() : !Record.Instance.empty();
+}
+
+double known_gate::load() const {
+  const std::uint32_t Limit =
+      std::max<std::uint32_t>(1, Status ? Status->Limit : Record.Slots);
+  std::uint32_t Busy = InFlight;
+  if (Status) {
+    Busy = Status->Running + Status->Queued;
+    if (InFlight > InFlightAtStatus)
+      Busy += InFlight - InFlightAtStatus;
+  }
+  return static_cast<double>(Busy) / static_cast<double>(Limit);
+}
+
+void instance_directory::record(const node_record &Record) {
+  known_gate &Gate = Gates[Record.Node];
+  if (Record.Incarnation < Gate.Record.Incarnation)
+    return;
+  if (Record.Incarnation != Gate.Record.Incarnation) {
+    Gate.Status.reset();
+    Gate.DownUntil = instant();
+    Gate.FailureShare = 0;
+  }
+  Gate.Record = Record;
+  Gate.LapsedAt.reset();
+}
+
+void instance_directory::vanished(const std::string &Node, instant Now) {
+  const auto Found = Gates.find(Node);
+  if (Found != Gates.end() && !Found->second.LapsedAt)
+    Found->second.LapsedAt = Now;
+}
+
+void instance_directory::replaceAll(const std::vector<node_record> &Records,
+                                    instant Now) {
+  for (auto &[Node, Gate] : Gates) {
+    const bool IsListed = std::any_of(
+        Records.begin(), Records.end(),
+        [&Name = Node](const auto &Each) { return Each.Node == Name; });
+    if (!IsListed && !Gate.LapsedAt)
+      Gate.LapsedAt = Now;
+  }
+  for (const node_record &Record : Records)
+    record(Record);
+}
+
+void instance_directory::up(const std::string &Node, const peer_hello &Hello) {
+  const auto Found = Gates.find(Node);
+  if (Found == Gates.end())
+    return;
+  known_gate &Gate = Found->second;
+  if (Hello.Self.Incarnation >= Gate.Record.Incarnation)
+    Gate.Record = Hello.Self;
+  Gate.DownUntil = instant();
+  status(Node, Hello.Gate);
+}
+
+void instance_directory::down(const std::string &Node, instant Now) {
+  const auto Found = Gates.find(Node);
+  if (Found == Gates.end())
+    return;
+  Found->second.Status.reset();
+  Found->second.DownUntil = Now + Settings.DownPause;
+}
+
+void instance_directory::status(const std::string &Node,
+                                const gate_status &Status) {
+  const auto Found = Gates.find(Node);
+  if (Found == Gates.end())
+    return;
+  Found->second.Status = Status;
+  Found->second.InFlightAtStatus = Found->second.InFlight;
+}
+
+void instance_directory::sent(const std::string &Node) {
+  const auto Found = Gates.find(Node);
+  if (Found != Gates.end())
+    ++Found->second.InFlight;
+}
+
+void instance_directory::ended(const std::string &Node, run_outcome Outcome,
+                               run_cause Cause, bool HasFailed, instant Now) {
+  const auto Found = Gates.find(Node);
+  if (Found == Gates.end())
+    return;
+  known_gate &Gate = Found->second;
+  Gate.InFlight -= std::min<std::uint32_t>(Gate.InFlight, 1);
+  if (Outcome == run_outcome::NotRun && Cause != run_cause::Cancelled) {
+    Gate.RefusedUntil = Now + Settings.RefusalPause;
+    return;
+  }
+  Gate.FailureShare +=
+      FailureWeight * ((HasFailed ? 1.0 : 0.0) - Gate.FailureShare);
+}
+
+double instance_directory::cost(const known_gate &Gate, instant Now) {
+  const double Load = Gate.load();
+  double Cost = Load + BusySlope * std::max(0.0, Load - BusyLoad);
+  if (Gate.Record.Zone != Settings.OwnZone)
+    Cost += Settings.ZonePreference;
+  Cost += FailureCost * Gate.FailureShare;
+  if (Now < Gate.RefusedUntil || (Gate.Status && !Gate.Status->IsReachable))
+    Cost += RefusedCost;
+  if (Now < Gate.DownUntil)
+    Cost += DownCost;
+  return Cost + Jitter * Random.unit();
+}
+
+const known_gate *
+instance_directory::choose(const std::string &Service,
+                           const std::vector<std::string> &Excluded,
+                           instant Now) {
+  const known_gate *Best = nullptr;
+  double BestCost = 0;
+  for (const auto &[Node, Gate] : Gates) {
+    if (Gate.Record.Service != Service || !Gate.takesWork() ||
+        std::find(Excluded.begin(), Excluded.end(), Node) != Excluded.end())
+      continue;
+    const double Cost = cost(Gate, Now);
+    if (Best == nullptr || Cost < BestCost) {
+      Best = &Gate;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+const known_gate *instance_directory::find(const std::string &Node) const {
+  const auto Found = Gates.find(Node);
+  return Found == Gates.end() ? nullptr : &Found->second;
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/gate/instance_book.h
@@ -0,0 +1,58 @@
+#ifndef CLEMENTINE_PROXY_GATE_INSTANCE_BOOK_H
+#define CLEMENTINE_PROXY_GATE_INSTANCE_BOOK_H
+
+#include "clementine_proxy/model/instance_record.h"
+
+#include <optional>
+#include <string>
+
+namespace clementine::proxy {
+
+/// How a report was taken.
+enum class report_verdict : std::uint8_t {
+  /// It is news of the present instance, or of a new one.
+  Accepted,
+  /// A later report, or one of a later instance, has come before.
+  Outdated,
+  /// It speaks of another service or another address than this node stands
+  /// beside.
+  Foreign,
+};
+
+/// @returns the lower-case name of @p Verdict for logs.
+std::string_view reportVerdictName(report_verdict Verdict);
+
+/// Keeps who the instance beside this node is and whether it takes work.
+///
+/// Runs are ordered by their start, reports of one run by their sequence. What
+/// has once left never takes work again, whatever late report says otherwise.
+class instance_book {
+public:
+  /// @param Service the service of the instance beside this node.
+  /// @param Address where that instance listens.
+  instance_book(std::string Service, endpoint Address)
+      : Service(std::move(Service)), Address(std::move(Address)) {}
+
+  /// Takes a report.
+  report_verdict report(const instance_report &Report);
+
+  /// Takes the word of an instance that it leaves.
+  /// @param StartedAt its start; 0 if it does not say.
+  /// @returns whether it was the present one.
+  bool deregister(const std::string &Instance, std::int64_t StartedAt);
+
+  /// @returns the instance that takes work, if there is one.
+  const instance_report *ready() const;
+
+  /// @returns the last accepted report.
+  const std::optional<instance_report> &current() const { return Current; }
+
+private:
+  const std::string Service;
+  const endpoint Address;
+  std::optional<instance_report> Current;
+};
+
+} // namespace clementine::proxy
+
+#endif
--- /dev/null
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -0,0 +1,318 @@
+#include "clementine_proxy/gate/instance_client.h"
+
+#include "clementine_proxy/model/boot_clock.h"
+#include "clementine_proxy/peers/peer_link.h"
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+#include <sys/socket.h>
+
+namespace clementine::proxy {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t ReadChunk = 8 * 1024;
+constexpr unsigned FirstSuccess = 200;
+constexpr unsigned FirstRedirect = 300;
+/// An instance that takes no bytes for so long, in milliseconds, is given up.
+constexpr unsigned UserTimeout = 5000;
+
+const logger &log() {
+  static const logger Log("instance");
+  return Log;
+}
+
+instant now() { return boot_clock().now(); }
+
+/// @returns the time that the `Keep-Alive` header of an answer allows.
+std::optional<duration> keepAliveOf(const response &Answer) {
+  const auto Text = findHeader(Answer.Headers, "Keep-Alive");
+  if (!Text)
+    return std::nullopt;
+  constexpr std::string_view Key = "timeout=";
+  const std::size_t At = Text->find(Key);
+  unsigned Seconds = 0;
+  if (At == std::string_view::npos ||
+      std::from_chars(Text->data() + At + Key.size(),
+                      Text->data() + Text->size(), Seconds)
+              .ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+} // namespace
+
+class instance_connection final
+    : public std::enable_shared_from_this<instance_connection> {
+public:
+  instance_connection(instance_client &Client)
+      : Client(Client), Socket(Client.Loop), Timer(Client.Loop) {}
+
+  /// Carries @p Next on a new connection.
+  void connect(instance_call Next) {
+    Call = std::move(Next);
+    arm(std::min(Call.Deadline, now() + Client.Settings.ConnectTimeout));
+    const auto &Address = Client.Settings.Address;
+    Socket.async_connect({asio::ip::make_address(Address.Host), Address.Port},
+                         [Self = shared_from_this()](const auto &Error) {
+                           if (Self->IsClosed)
+                             return;
+                           if (Error)
+                             return Self->end(run_outcome::NotRun,
+                                              run_cause::Unreachable);
+                           tunePeerSocket(Self->Socket, UserTimeout);
+                           Self->send();
+                         });
+  }
+
+  /// Carries @p Next on this kept connection.
+  void reuse(instance_call Next) {
+    Call = std::move(Next);
+    IsReused = true;
+    send();
+  }
+
+  /// @returns whether the connection is open and silent, as it has to be
+  /// before it carries a run.
+  bool isClean() {
+    if (IsClosed || !Input.empty())
+      return false;
+    char Byte = 0;
+    const auto Got =
+        ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void close() {
+    if (IsClosed)
+      return;
+    IsClosed = true;
+    Timer.cancel();
+    boost::system::error_code Ignored; // It is given up either way.
+    Socket.close(Ignored);
+  }
+
+  const instance_call &call() const { return Call; }
+  bool isUsableAt(instant Now) const { return Now < UsableUntil; }
+  instant idleSince() const { return IdleSince; }
+
+private:
+  void send() {
+    const instant Now = now();
+    const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Call.Deadline - Now)
+                          .count();
+    if (Left <= 0) {
+      asio::post(Client.Loop, [Self = shared_from_this()] {
+        if (!Self->IsClosed)
+          Self->end(run_outcome::NotRun, run_cause::TooLate);
+      });
+      return;
+    }
+    request Sent = std::move(Call.Request);
+    Sent.Headers.emplace_back(Client.Names.Deadline, std::to_string(Left));
+    Sent.Headers.emplace_back(Client.Names.ExpectedInstance, Call.Instance);
+    RequestId = findHeader(Sent.Headers, Client.Names.RequestId).value_or("");
+    Output = serialized(Sent);
+    Reader.emplace(Sent.Method == "HEAD", Client.Settings.MaxBody);
+    arm(Call.Deadline + Client.Settings.AnswerGrace);
+    IsSending = true;
+    asio::async_write(
+        Socket, asio::buffer(Output),
+        [Self = shared_from_this()](const auto &Error, std::size_t /*Bytes*/) {
+          Self->IsSending = false;
+          // A refusal may have come before the write failed, so
+          // the reading side decides.
+          (void)Error;
+        });
+    read();
+  }
+
+  void read() {
+    const std::size_t Held = Input.size();
+    Input.resize(Held + ReadChunk);
+    Socket.async_read_some(asio::buffer(Input.data() + Held, ReadChunk),
+                           [Self = shared_from_this(),
+                            Held](const auto &Error, std::size_t Bytes) {
+                             if (Self->IsClosed)
+                               return;
+                             Self->Input.resize(Held + Bytes);
+                             Self->readDone(Error);
+                           });
+  }
+
+  void readDone(const boost::system::error_code &Error) {
+    const read_progress Progress =
+        Error == asio::error::eof ? endOfInput() : Reader->read(Input);
+    if (Progress == read_progress::Complete)
+      return answered(Reader->take(), Error == asio::error::eof);
+    if (Error || Progress == read_progress::Failed)
+      return end(run_outcome::Unknown, run_cause::Broken);
+    read();
+  }
+
+  read_progress endOfInput() {
+    const read_progress Progress = Reader->read(Input);
+    return Progress == read_progress::Incomplete ? Reader->readEnd() : Progress;
+  }
+
+  void answered(response Answer, bool HasEnded) {
+    const auto Echo = findHeader(Answer.Headers, Client.Names.RequestId);
+    if (!Echo || *Echo != RequestId) {
+      log().info("answer to another request",
+                 {log_field(Call.Attempt), {"found", Echo.value_or("")}});
+      // A stray answer may stand before the one that is due.
+      if (Echo && !HasEnded && Answer.KeepsAlive)
+        return readDone({});
+      return end(run_outcome::Unknown, run_cause::Broken);
+    }
+    KeepsConnection =
+        Answer.KeepsAlive && !HasEnded && !IsSending && Input.empty();
+    const auto Kept = keepAliveOf(Answer);
+    UsableUntil = now() + Kept.value_or(Client.Settings.KeepAlive) -
+                  Client.Settings.KeepAliveMargin;
+    if (findHeader(Answer.Headers, Client.Names.NotExecuted))
+      return end(run_outcome::NotRun, run_cause::Rejected);
+    const bool IsSuccess =
+        Answer.Status >= FirstSuccess && Answer.Status < FirstRedirect;
+    const bool IsSigned =
+        findHeader(Answer.Headers, Client.Names.Signature).has_value();
+    const bool IsEncoded =
+        findHeader(Answer.Headers, "Content-Encoding").has_value();
+    if (!IsSigned || (IsSuccess && IsEncoded)) {
+      log().warning("answer without a valid proof",
+                    {log_field(Call.Attempt), {"status", Answer.Status}});
+      return end(run_outcome::Unknown, run_cause::Broken);
+    }
+    removeConnectionHeaders(Answer.Headers);
+    finish({run_outcome::Completed, run_cause::None, true, std::move(Answer)});
+  }
+
+  void end(run_outcome Outcome, run_cause Cause) {
+    const bool WasSent =
+        Cause == run_cause::Rejected || Outcome == run_outcome::Unknown;
+    if (Outcome == run_outcome::Unknown)
+      KeepsConnection = false;
+    if (Outcome == run_outcome::NotRun && Cause == run_cause::TooLate)
+      KeepsConnection = IsReused;
+    finish({Outcome, Cause, WasSent, {}});
+  }
+
+  void finish(instance_result Result) {
+    Timer.cancel();
+    IdleSince = now();
+    Output.clear();
+    Reader.reset();
+    Client.ended(shared_from_this(), std::move(Result), KeepsConnection);
+  }
+
+  void arm(instant Time) {
+    Timer.expires_after(std::max<duration>(Time - now(), duration(0)));
+    Timer.async_wait([Self = shared_from_this()](const auto &Error) {
+      if (Error || Self->IsClosed)
+        return;
+      if (Self->Reader)
+        Self->end(run_outcome::Unknown, run_cause::Broken);
+      else
+        Self->end(run_outcome::NotRun, run_cause::Unreachable);
+    });
+  }
+
+  instance_client &Client;
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+  instance_call Call;
+  std::string RequestId;
+  std::string Output;
+  std::string Input;
+  std::optional<response_reader> Reader;
+  instant UsableUntil;
+  instant IdleSince;
+  bool IsReused = false;
+  bool IsSending = false;
+  bool KeepsConnection = false;
+  bool IsClosed = false;
+};
+
+instance_client::instance_client(asio::io_context &Loop,
+                                 instance_client_settings Settings,
+                                 const header_names &Names, listener Listener)
+    : Loop(Loop), Settings(std::move(Settings)), Names(Names),
+      Listener(std::move(Listener)) {}
+
+instance_client::~instance_client() = default;
+
+void instance_client::call(instance_call Call) {
+  auto &Connection = Busy[Call.Attempt];
+  Connection = takeIdle(!Call.IsIdempotent);
+  if (Connection)
+    return Connection->reuse(std::move(Call));
+  Connection = std::make_shared<instance_connection>(*this);
+  Connection->connect(std::move(Call));
+}
+
+std::shared_ptr<instance_connection>
+instance_client::takeIdle(bool MustBeFresh) {
+  const instant Now = now();
+  while (!Idle.empty()) {
+    const auto Connection = Idle.back();
+    if (Connection->isUsableAt(Now) && MustBeFresh &&
+        Now - Connection->idleSince() > Settings.FreshEnough)
+      return nullptr;
+    Idle.pop_back();
+    if (Connection->isUsableAt(Now) && Connection->isClean())
+      return Connection;
+    Connection->close();
+  }
+  return nullptr;
+}
+
+void instance_client::ended(
+    const std::shared_ptr<instance_connection> &Connection,
+    instance_result Result, bool KeepsConnection) {
+  const attempt_id Attempt = Connection->call().Attempt;
+  Busy.erase(Attempt);
+  const instant Now = now();
+  while (!Idle.empty() && !Idle.front()->isUsableAt(Now)) {
+    Idle.front()->close();
+    Idle.pop_front();
+  }
+  if (KeepsConnection)
+    Idle.push_back(Connection);
+  else
+    Connection->close();
+  Listener(Attempt, std::move(Result));
+}
+
+void instance_client::abort(const attempt_id &Attempt) {
+  const auto Found = Busy.find(Attempt);
+  if (Found == Busy.end())
+    return;
+  Found->second->close();
+  Busy.erase(Found);
+}
+
+void instance_client::dropIdle() {
+  for (const auto &Connection : Idle)
+    Connection->close();
+  Idle.clear();
+}
+
+void instance_client::stop() {
+  dropIdle();
+  for (const auto &[Attempt, Connection] : Busy)
+    Connection->close();
+  Busy.clear();
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -0,0 +1,248 @@
+#include "clementine_proxy/gate/instance_gate.h"
+
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine::proxy {
+
+namespace {
+
+const logger &log() {
+  static const logger Log("gate");
+  return Log;
+}
+
+importance importanceOf(std::uint32_t Priority) {
+  constexpr auto Lowest = static_cast<std::uint32_t>(importance::Low);
+  return static_cast<importance>(std::min(Priority, Lowest));
+}
+
+run_cause causeOf(refusal_reason Reason) {
+  switch (Reason) {
+  case refusal_reason::DeadlineTooClose:
+    return run_cause::TooLate;
+  case refusal_reason::Draining:
+    return run_cause::NoInstance;
+  default:
+    return run_cause::Overloaded;
+  }
+}
+
+work_result workOf(const instance_result &Result) {
+  switch (Result.Outcome) {
+  case run_outcome::Completed:
+    return {work_outcome::Completed, {}};
+  case run_outcome::NotRun:
+    return {work_outcome::Shed, {}};
+  case run_outcome::Unknown:
+    break;
+  }
+  return {work_outcome::Failed, {}};
+}
+
+} // namespace
+
+instance_gate::instance_gate(instance_gate_settings Settings,
+                             instance_book &Book, gate_port &Port)
+    : Settings(Settings), Book(Book), Port(Port) {}
+
+instance_gate::~instance_gate() = default;
+
+void instance_gate::order(std::uint64_t Link, run_order Order, instant Now) {
+  forget(Now);
+  const attempt_id Attempt = Order.Attempt;
+  if (Runs.contains(Attempt))
+    return;
+  if (const auto Past = Ended.find(Attempt); Past != Ended.end()) {
+    Port.report(Link, Past->second.Report);
+    return;
+  }
+  const instant Deadline = Now + std::chrono::microseconds(Order.TimeLeft);
+  const auto &Run =
+      Runs.emplace(Attempt, active_run{Link, std::move(Order), Deadline, false})
+          .first->second;
+  if (Book.ready() == nullptr || !Admission ||
+      Run.Order.Service != Book.ready()->Service)
+    return refuse(Attempt, run_cause::NoInstance, Now);
+  if (Now < UnreachableUntil)
+    return refuse(Attempt, run_cause::Unreachable, Now);
+  admission_ticket Ticket;
+  Ticket.RequestId = Attempt;
+  Ticket.Importance = importanceOf(Run.Order.Priority);
+  Ticket.RequestHash = Attempt.Low;
+  Ticket.Deadline = Deadline;
+  const offer_decision Decision = Admission->offer(Ticket, Now);
+  obey(Decision.Others, Now);
+  if (Decision.Verdict == offer_verdict::Admitted)
+    start(Attempt);
+  else if (Decision.Verdict == offer_verdict::Refused)
+    refuse(Attempt, causeOf(Decision.Reason), Now);
+}
+
+void instance_gate::start(const attempt_id &Attempt) {
+  const auto Found = Runs.find(Attempt);
+  if (Found == Runs.end())
+    return;
+  active_run &Run = Found->second;
+  Run.IsRunning = true;
+  Port.callInstance({Attempt, Instance, Run.Order.IsIdempotent, Run.Deadline,
+                     std::move(Run.Order.Request)});
+}
+
+void instance_gate::obey(const gate_actions &Actions, instant Now) {
+  for (const refused_ticket &Refused : Actions.Refused)
+    refuse(Refused.Ticket.RequestId, causeOf(Refused.Reason), Now);
+  for (const admission_ticket &Started : Actions.Started)
+    start(Started.RequestId);
+}
+
+void instance_gate::refuse(const attempt_id &Attempt, run_cause Cause,
+                           instant Now) {
+  instance_result Result;
+  Result.Cause = Cause;
+  finish(Attempt, std::move(Result), Now);
+}
+
+void instance_gate::finish(const attempt_id &Attempt, instance_result Result,
+                           instant Now) {
+  const auto Found = Runs.find(Attempt);
+  if (Found == Runs.end())
+    return;
+  const std::uint64_t Link = Found->second.Link;
+  if (Result.Outcome != run_outcome::Completed)
+    log().info("run not completed",
+               {log_field(Attempt),
+                {"outcome", runOutcomeName(Result.Outcome)},
+                {"cause", runCauseName(Result.Cause)},
+                {"instance", Instance},
+                {"running", Admission ? Admission->running() : 0},
+                {"queued", Admission ? Admission->queued() : 0},
+                {"limit", Slots}});
+  Runs.erase(Found);
+  run_report Report{Attempt,
+                    Result.Outcome,
+                    Result.Cause,
+                    Result.ReachedInstance,
+                    std::move(Result.Response),
+                    status(Now)};
+  if (Link != OwnEntryLink)
+    keep(Report, Now);
+  Port.report(Link, std::move(Report));
+}
+
+void instance_gate::keep(const run_report &Report, instant Now) {
+  EndedBytes += Report.Response.Body.size();
+  Ended[Report.Attempt] = {Now, Report};
+  EndedOrder.push_back(Report.Attempt);
+  forget(Now);
+}
+
+void instance_gate::forget(instant Now) {
+  while (!EndedOrder.empty()) {
+    const auto Oldest = Ended.find(EndedOrder.front());
+    if (Oldest != Ended.end()) {
+      const bool IsFull = EndedOrder.size() > Settings.MaxEnded ||
+                          EndedBytes > Settings.MaxEndedBytes;
+      if (!IsFull && Now - Oldest->second.EndedAt < Settings.KeepEnded)
+        return;
+      EndedBytes -= Oldest->second.Report.Response.Body.size();
+      Ended.erase(Oldest);
+    }
+    EndedOrder.pop_front();
+  }
+}
+
+void instance_gate::query(std::uint64_t Link, const run_query &Query,
+                          instant Now) {
+  if (const auto Found = Runs.find(Query.Attempt); Found != Runs.end()) {
+    Found->second.Link = Link;
+    return;
+  }
+  if (const auto Past = Ended.find(Query.Attempt); Past != Ended.end()) {
+    Port.report(Link, Past->second.Report);
+    return;
+  }
+  run_report Report;
+  Report.Attempt = Query.Attempt;
+  Report.Outcome = run_outcome::NotRun;
+  Report.Cause = run_cause::Unheard;
+  Report.Gate = status(Now);
+  log().info("asked for a run that never came", {log_field(Query.Attempt)});
+  keep(Report, Now);
+  Port.report(Link, std::move(Report));
+}
+
+void instance_gate::cancel(const run_cancel &Cancel, instant Now) {
+  const auto Found = Runs.find(Cancel.Attempt);
+  if (Found == Runs.end())
+    return;
+  if (!Found->second.IsRunning) {
+    if (Admission)
+      Admission->cancel(Cancel.Attempt);
+    return refuse(Cancel.Attempt, run_cause::Cancelled, Now);
+  }
+  if (!Cancel.BreaksOff)
+    return;
+  Port.abortInstance(Cancel.Attempt);
+  instance_result Result;
+  Result.Outcome = run_outcome::Unknown;
+  Result.Cause = run_cause::Cancelled;
+  Result.ReachedInstance = true;
+  instanceEnded(Cancel.Attempt, std::move(Result), Now);
+}
+
+void instance_gate::instanceEnded(const attempt_id &Attempt,
+                                  instance_result Result, instant Now) {
+  if (Result.Cause == run_cause::Unreachable)
+    UnreachableUntil = Now + Settings.UnreachablePause;
+  gate_actions Next;
+  if (Admission)
+    Next = Admission->complete(Attempt, workOf(Result), Now);
+  finish(Attempt, std::move(Result), Now);
+  obey(Next, Now);
+}
+
+void instance_gate::instanceChanged(instant Now) {
+  const instance_report *Ready = Book.ready();
+  if (Ready == nullptr) {
+    if (Admission && !Admission->isDraining())
+      obey(Admission->drain(Now), Now);
+    return;
+  }
+  if (Admission && Ready->Instance == Instance && Ready->Slots == Slots &&
+      !Admission->isDraining())
+    return;
+  if (Admission)
+    obey(Admission->drain(Now), Now);
+  Instance = Ready->Instance;
+  Slots = Ready->Slots;
+  UnreachableUntil = instant();
+  Admission = std::make_unique<admission_gate>(
+      Settings.Admission, std::make_unique<static_limiter>(Slots));
+}
+
+void instance_gate::passTime(instant Now) {
+  if (Admission)
+    obey(Admission->expire(Now), Now);
+}
+
+std::optional<instant> instance_gate::nextWake() const {
+  return Admission ? Admission->nextWake() : std::nullopt;
+}
+
+gate_status instance_gate::status(instant Now) const {
+  gate_status Status;
+  if (Book.ready() != nullptr && Admission)
+    Status.Instance = Instance;
+  if (Admission) {
+    Status.Running = static_cast<std::uint32_t>(Admission->running());
+    Status.Queued = static_cast<std::uint32_t>(Admission->queued());
+    Status.Limit = Slots;
+  }
+  Status.IsReachable = Now >= UnreachableUntil;
+  return Status;
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -0,0 +1,296 @@
+#include "clementine_proxy/http/http_session.h"
+
+#include "clementine_proxy/model/boot_clock.h"
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace clementine::proxy {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds TimeCheckInterval{500};
+constexpr std::chrono::milliseconds AcceptPause{20};
+
+constexpr unsigned BadRequest = 400;
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned ContentTooLarge = 413;
+constexpr unsigned HeaderFieldsTooLarge = 431;
+
+const logger &log() {
+  static const logger Log("http");
+  return Log;
+}
+
+instant now() { return boot_clock().now(); }
+
+unsigned statusOf(read_fault Fault) {
+  switch (Fault) {
+  case read_fault::HeaderTooLarge:
+    return HeaderFieldsTooLarge;
+  case read_fault::BodyTooLarge:
+    return ContentTooLarge;
+  default:
+    return BadRequest;
+  }
+}
+
+} // namespace
+
+http_session::http_session(tcp::socket Socket, http_handler &Handler)
+    : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
+      Handler(Handler), Limits(Handler.limits()),
+      Reader(Limits.MaxHeader, Limits.MaxBody), IdleSince(now()) {
+  boost::system::error_code Ignored; // The session works without it.
+  this->Socket.set_option(tcp::no_delay(true), Ignored);
+}
+
+void http_session::start() {
+  read();
+  watchTime();
+}
+
+void http_session::read() {
+  if (IsReading || IsClosed)
+    return;
+  IsReading = true;
+  Socket.async_read_some(
+      asio::buffer(Chunk),
+      [Self = shared_from_this()](const auto &Error, std::size_t Bytes) {
+        Self->IsReading = false;
+        Self->Input.append(Self->Chunk.data(), Bytes);
+        Self->readDone(Error, Bytes);
+      });
+}
+
+void http_session::readDone(const boost::system::error_code &Error,
+                            std::size_t Bytes) {
+  if (IsClosed)
+    return;
+  if (Error || Bytes == 0)
+    return leave();
+  parse();
+  // Reading on shows when the client leaves. One that sends ahead of what is
+  // taken is left in its own buffers.
+  if (!IsClosed && Input.size() <= ReadChunk + Limits.MaxHeader)
+    read();
+}
+
+void http_session::parse() {
+  while (!IsEnding && !IsClosed && Exchanges.size() < MaxPipelined &&
+         Unsent.size() < MaxUnsent) {
+    const bool HadBegun = Reader.hasBegun();
+    const read_progress Progress = Reader.read(Input);
+    if (Progress == read_progress::Failed)
+      return refuse(Reader.fault());
+    if (Progress == read_progress::Incomplete) {
+      if (Reader.hasBegun() && !HadBegun)
+        HeaderSince = now();
+      if (Reader.expectsContinue() && !HasContinued && Exchanges.empty()) {
+        HasContinued = true;
+        Unsent += "HTTP/1.1 100 Continue\r\n\r\n";
+        write();
+      }
+      return;
+    }
+    HasContinued = false;
+    accept(Reader.take());
+  }
+}
+
+void http_session::accept(request Request) {
+  auto Exchange = std::make_shared<exchange>();
+  Exchange->KeepsAlive = Request.KeepsAlive;
+  Exchange->IsForHead = Request.Method == "HEAD";
+  IsEnding = !Request.KeepsAlive;
+  Exchanges.push_back(Exchange);
+  Handler.handle(
+      std::move(Request),
+      [Session = weak_from_this(), Exchange](response Answer) {
+        if (const auto Self = Session.lock())
+          Self->answered(Exchange, std::move(Answer));
+      },
+      Exchange->WhenGone);
+}
+
+void http_session::refuse(read_fault Fault) {
+  log().info("request not accepted", {{"fault", readFaultName(Fault)}});
+  IsEnding = true;
+  auto Exchange = std::make_shared<exchange>();
+  Exchange->KeepsAlive = false;
+  Exchanges.push_back(Exchange);
+  response Answer;
+  Answer.Status = statusOf(Fault);
+  answered(Exchange, std::move(Answer));
+}
+
+void http_session::answered(const std::shared_ptr<exchange> &Exchange,
+                            response Answer) {
+  Exchange->WhenGone = nullptr;
+  Exchange->Answer = std::move(Answer);
+  flush();
+}
+
+void http_session::flush() {
+  if (IsClosed)
+    return;
+  while (!Exchanges.empty() && Exchanges.front()->Answer) {
+    const auto Exchange = Exchanges.front();
+    const bool IsLast = Exchanges.size() == 1;
+    const bool Closes =
+        !Exchange->KeepsAlive || (IsLast && Handler.isClosing());
+    Unsent += serialized(*Exchange->Answer, Closes, Exchange->IsForHead);
+    Exchanges.pop_front();
+    if (Closes)
+      IsEnding = true;
+  }
+  if (!Unsent.empty())
+    write();
+}
+
+void http_session::write() {
+  if (IsWriting || IsClosed)
+    return;
+  IsWriting = true;
+  WriteSince = now();
+  Sending.swap(Unsent);
+  asio::async_write(
+      Socket, asio::buffer(Sending),
+      [Self = shared_from_this()](const auto &Error, std::size_t /*Bytes*/) {
+        Self->IsWriting = false;
+        Self->Sending.clear();
+        if (Self->Sending.capacity() > ReadChunk)
+          Self->Sending.shrink_to_fit();
+        if (Self->IsClosed)
+          return;
+        if (Error)
+          return Self->leave();
+        if (!Self->Unsent.empty())
+          return Self->write();
+        if (Self->Exchanges.empty()) {
+          if (Self->IsEnding)
+            return Self->close();
+          Self->IdleSince = now();
+        }
+        Self->parse();
+        Self->read();
+      });
+}
+
+void http_session::leave() {
+  std::deque<std::shared_ptr<exchange>> Left;
+  Left.swap(Exchanges);
+  close();
+  for (const auto &Exchange : Left)
+    if (const auto WhenGone = std::exchange(Exchange->WhenGone, nullptr))
+      WhenGone();
+}
+
+void http_session::close() {
+  if (IsClosed)
+    return;
+  IsClosed = true;
+  boost::system::error_code Ignored; // The connection is given up either way.
+  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  Socket.close(Ignored);
+  Timer.cancel();
+}
+
+void http_session::closeIfIdle() {
+  if (!isBusy() && !Reader.hasBegun())
+    close();
+}
+
+void http_session::watchTime() {
+  Timer.expires_after(TimeCheckInterval);
+  Timer.async_wait([Session = weak_from_this()](const auto &Error) {
+    const auto Self = Session.lock();
+    if (Error || !Self || Self->IsClosed)
+      return;
+    Self->checkTime();
+    if (!Self->IsClosed)
+      Self->watchTime();
+  });
+}
+
+void http_session::checkTime() {
+  const instant Now = now();
+  if (IsWriting && Now - WriteSince > WriteTimeout)
+    return leave();
+  if (isBusy())
+    return;
+  if (Reader.hasBegun()) {
+    if (Now - HeaderSince <= Limits.HeaderTimeout)
+      return;
+    log().info("request not completed in time");
+    IsEnding = true;
+    auto Exchange = std::make_shared<exchange>();
+    Exchange->KeepsAlive = false;
+    Exchanges.push_back(Exchange);
+    response Answer;
+    Answer.Status = RequestTimeout;
+    return answered(Exchange, std::move(Answer));
+  }
+  if (Now - IdleSince > Limits.IdleTimeout)
+    close();
+}
+
+http_listener::http_listener(asio::io_context &Loop, endpoint Listen,
+                             http_handler &Handler, std::size_t MaxConnections)
+    : Loop(Loop), Listen(std::move(Listen)), Handler(Handler),
+      MaxConnections(MaxConnections), Acceptor(Loop), Pause(Loop) {}
+
+void http_listener::start() {
+  const tcp::endpoint Address(asio::ip::make_address(Listen.Host), Listen.Port);
+  Acceptor.open(Address.protocol());
+  Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Acceptor.bind(Address);
+  Acceptor.listen();
+  accept();
+}
+
+void http_listener::accept() {
+  Acceptor.async_accept([this](const auto &Error, tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted || !Acceptor.is_open())
+      return;
+    std::erase_if(Sessions, [](const auto &Each) { return Each.expired(); });
+    if (!Error && Sessions.size() < MaxConnections) {
+      auto Session = std::make_shared<http_session>(std::move(Socket), Handler);
+      Sessions.push_back(Session);
+      Session->start();
+      return accept();
+    }
+    log().warning("connection not accepted",
+                  {{"error", Error.message()}, {"open", Sessions.size()}});
+    Pause.expires_after(AcceptPause);
+    Pause.async_wait([this](const auto &Cancelled) {
+      if (!Cancelled)
+        accept();
+    });
+  });
+}
+
+void http_listener::stop() {
+  boost::system::error_code Ignored; // Nothing more is accepted either way.
+  Acceptor.close(Ignored);
+  Pause.cancel();
+  for (const auto &Each : Sessions)
+    if (const auto Session = Each.lock())
+      Session->closeIfIdle();
+}
+
+bool http_listener::isBusy() const {
+  return std::any_of(Sessions.begin(), Sessions.end(), [](const auto &Each) {
+    const auto Session = Each.lock();
+    return Session && Session->isBusy();
+  });
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -0,0 +1,217 @@
+#include "clementine_proxy/http/message_reader.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cassert>
+#include <limits>
+
+namespace clementine::proxy {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// The most bytes of an answer's header.
+constexpr std::uint32_t MaxResponseHeader = 64 * 1024;
+constexpr unsigned FirstFinalStatus = 200;
+
+/// Moves what @p Parser understands out of @p Buffer.
+/// @returns the last error; need_more for an incomplete message.
+template <class Parser>
+boost::beast::error_code consume(Parser &Target, std::string &Buffer) {
+  std::size_t Offset = 0;
+  boost::beast::error_code Error;
+  while (!Target.is_done() && Offset < Buffer.size()) {
+    const std::size_t Taken = Target.put(
+        boost::asio::buffer(Buffer.data() + Offset, Buffer.size() - Offset),
+        Error);
+    Offset += Taken;
+    if (Error || Taken == 0)
+      break;
+  }
+  Buffer.erase(0, Offset);
+  return Error;
+}
+
+read_fault faultOf(const boost::beast::error_code &Error) {
+  if (Error == http::error::header_limit)
+    return read_fault::HeaderTooLarge;
+  if (Error == http::error::body_limit)
+    return read_fault::BodyTooLarge;
+  return read_fault::Malformed;
+}
+
+template <class Message> header_list headersOf(const Message &Source) {
+  header_list Headers;
+  for (const auto &Field : Source)
+    Headers.emplace_back(
+        std::string(Field.name_string().data(), Field.name_string().size()),
+        std::string(Field.value().data(), Field.value().size()));
+  return Headers;
+}
+
+} // namespace
+
+std::string_view readFaultName(read_fault Fault) {
+  switch (Fault) {
+  case read_fault::None:
+    return "none";
+  case read_fault::Malformed:
+    return "malformed";
+  case read_fault::HeaderTooLarge:
+    return "header-too-large";
+  case read_fault::BodyTooLarge:
+    return "body-too-large";
+  case read_fault::Truncated:
+    return "truncated";
+  }
+  return "unknown";
+}
+
+struct request_reader::parser {
+  http::request_parser<http::string_body> Beast;
+};
+
+request_reader::request_reader(std::uint64_t MaxHeader, std::uint64_t MaxBody)
+    : MaxHeader(MaxHeader), MaxBody(MaxBody) {
+  reset();
+}
+
+request_reader::~request_reader() = default;
+
+void request_reader::reset() {
+  Parser = std::make_unique<parser>();
+  Parser->Beast.eager(true);
+  Parser->Beast.header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      MaxHeader, std::numeric_limits<std::uint32_t>::max())));
+  Parser->Beast.body_limit(MaxBody);
+  HasBegun = false;
+}
+
+read_progress request_reader::fail(read_fault Reason) {
+  Fault = Reason;
+  return read_progress::Failed;
+}
+
+read_progress request_reader::read(std::string &Buffer) {
+  if (Fault != read_fault::None)
+    return read_progress::Failed;
+  if (Buffer.empty() && !Parser->Beast.is_done())
+    return read_progress::Incomplete;
+  HasBegun = true;
+  const auto Error = consume(Parser->Beast, Buffer);
+  if (Error && Error != http::error::need_more)
+    return fail(faultOf(Error));
+  if (!Parser->Beast.is_header_done() && Buffer.size() > MaxHeader)
+    return fail(read_fault::HeaderTooLarge);
+  if (!Parser->Beast.is_done())
+    return read_progress::Incomplete;
+  return isUnambiguous() ? read_progress::Complete
+                         : fail(read_fault::Malformed);
+}
+
+bool request_reader::isUnambiguous() const {
+  const auto &Message = Parser->Beast.get();
+  if (Message.count(http::field::host) != 1 ||
+      Message.count(http::field::content_length) > 1 ||
+      Message.count(http::field::transfer_encoding) > 1)
+    return false;
+  const auto Encoding = Message.find(http::field::transfer_encoding);
+  if (Encoding != Message.end() &&
+      !boost::algorithm::iequals(
+          std::string(Encoding->value().data(), Encoding->value().size()),
+          "chunked"))
+    return false;
+  const auto Target = Message.target();
+  return !Target.empty() && Target.front() == '/' && Message.version() == 11;
+}
+
+bool request_reader::expectsContinue() const {
+  if (!Parser->Beast.is_header_done() || Parser->Beast.is_done())
+    return false;
+  const auto Expect = Parser->Beast.get().find(http::field::expect);
+  return Expect != Parser->Beast.get().end();
+}
+
+request request_reader::take() {
+  assert(Parser->Beast.is_done() && "the request is not whole yet");
+  auto Message = Parser->Beast.release();
+  request Taken;
+  Taken.Method = std::string(Message.method_string().data(),
+                             Message.method_string().size());
+  Taken.Target = std::string(Message.target().data(), Message.target().size());
+  Taken.Headers = headersOf(Message);
+  Taken.KeepsAlive = Message.keep_alive();
+  Taken.Body = std::move(Message.body());
+  reset();
+  return Taken;
+}
+
+struct response_reader::parser {
+  http::response_parser<http::string_body> Beast;
+};
+
+response_reader::response_reader(bool IsForHead, std::uint64_t MaxBody)
+    : IsForHead(IsForHead), MaxBody(MaxBody) {
+  reset();
+}
+
+response_reader::~response_reader() = default;
+
+void response_reader::reset() {
+  Parser = std::make_unique<parser>();
+  Parser->Beast.eager(true);
+  Parser->Beast.header_limit(MaxResponseHeader);
+  Parser->Beast.body_limit(MaxBody);
+  Parser->Beast.skip(IsForHead);
+}
+
+read_progress response_reader::fail(read_fault Reason) {
+  Fault = Reason;
+  return read_progress::Failed;
+}
+
+read_progress response_reader::read(std::string &Buffer) {
+  if (Fault != read_fault::None)
+    return read_progress::Failed;
+  while (!Buffer.empty()) {
+    const auto Error = consume(Parser->Beast, Buffer);
+    if (Error && Error != http::error::need_more)
+      return fail(faultOf(Error));
+    if (!Parser->Beast.is_done())
+      return read_progress::Incomplete;
+    if (Parser->Beast.get().result_int() >= FirstFinalStatus)
+      return read_progress::Complete;
+    reset();
+  }
+  return read_progress::Incomplete;
+}
+
+read_progress response_reader::readEnd() {
+  if (Fault != read_fault::None)
+    return read_progress::Failed;
+  if (!Parser->Beast.got_some() || !Parser->Beast.is_header_done())
+    return fail(read_fault::Truncated);
+  boost::beast::error_code Error;
+  Parser->Beast.put_eof(Error);
+  if (Error || !Parser->Beast.is_done())
+    return fail(read_fault::Truncated);
+  return read_progress::Complete;
+}
+
+response response_reader::take() {
+  assert(Parser->Beast.is_done() && "the answer is not whole yet");
+  auto Message = Parser->Beast.release();
+  response Taken;
+  Taken.Status = Message.result_int();
+  Taken.Headers = headersOf(Message);
+  Taken.KeepsAlive = Message.keep_alive();
+  Taken.Body = std::move(Message.body());
+  reset();
+  return Taken;
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/model/instance_record.cpp
@@ -0,0 +1,37 @@
+#include "clementine_proxy/model/instance_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace clementine::proxy {
+
+using nlohmann::json;
+
+std::string node_record::encoded() const {
+  return json{{"node", Node},         {"incarnation", Incarnation},
+              {"zone", Zone},         {"host", Peer.Host},
+              {"port", Peer.Port},    {"service", Service},
+              {"instance", Instance}, {"slots", Slots}}
+      .dump();
+}
+
+std::optional<node_record> node_record::decode(std::string_view Text) {
+  const json Parsed = json::parse(Text, nullptr, false);
+  if (!Parsed.is_object())
+    return std::nullopt;
+  try {
+    node_record Record;
+    Record.Node = Parsed.at("node").get<std::string>();
+    Record.Incarnation = Parsed.at("incarnation").get<std::uint64_t>();
+    Record.Zone = Parsed.at("zone").get<std::string>();
+    Record.Peer = {Parsed.at("host").get<std::string>(),
+                   Parsed.at("port").get<std::uint16_t>()};
+    Record.Service = Parsed.at("service").get<std::string>();
+    Record.Instance = Parsed.at("instance").get<std::string>();
+    Record.Slots = Parsed.at("slots").get<std::uint32_t>();
+    return Record;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/node/operator_endpoints.cpp
@@ -0,0 +1,52 @@
+#include "clementine_proxy/node/operator_endpoints.h"
+
+namespace clementine::proxy {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Unavailable = 503;
+
+response statusOnly(unsigned Status) {
+  response Answer;
+  Answer.Status = Status;
+  return Answer;
+}
+
+} // namespace
+
+response control_endpoint::answerTo(const request &Request) {
+  const auto Content = Adapter.decodeInstanceCall(Request);
+  if (!Content) {
+    Log.warning("instance call not usable",
+                {{"path", Request.path()}, {"error", Content.error().text()}});
+    return statusOnly(BadRequest);
+  }
+  if (std::holds_alternative<unknown_call>(Content.value()))
+    return statusOnly(NotFound);
+  if (!Listener(Content.value()))
+    return statusOnly(BadRequest);
+  response Answer = statusOnly(Ok);
+  Answer.Headers.emplace_back("Content-Type", "application/json");
+  Answer.Body = "{}";
+  return Answer;
+}
+
+response readiness_endpoint::answerTo(const request &Request) {
+  if (!Adapter.isReadinessProbe(Request))
+    return statusOnly(NotFound);
+  return statusOnly(IsReady() ? Ok : Unavailable);
+}
+
+response metrics_endpoint::answerTo(const request &Request) {
+  if (Request.path() != "/metrics")
+    return statusOnly(NotFound);
+  response Answer = statusOnly(Ok);
+  Answer.Headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+  Answer.Body = Metrics.prometheusText();
+  return Answer;
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/node/operator_endpoints.h
@@ -0,0 +1,75 @@
+#ifndef CLEMENTINE_PROXY_NODE_OPERATOR_ENDPOINTS_H
+#define CLEMENTINE_PROXY_NODE_OPERATOR_ENDPOINTS_H
+
+#include "clementine_proxy/http/http_session.h"
+#include "clementine_proxy/node/deployment_adapter.h"
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <functional>
+
+namespace clementine::proxy {
+
+/// A handler whose answers are ready at once.
+class local_endpoint : public http_handler {
+public:
+  void handle(request Request, responder Respond,
+              departure & /*WhenGone*/) override {
+    Respond(answerTo(Request));
+  }
+  caller_limits limits() const override { return {}; }
+  bool isClosing() const override { return false; }
+
+protected:
+  virtual response answerTo(const request &Request) = 0;
+};
+
+/// Takes the reports of the instance beside the node: 200 confirms one, 400
+/// turns away what is no report of it, 404 what is no such call.
+class control_endpoint final : public local_endpoint {
+public:
+  /// @returns whether the content concerns this node.
+  using listener = std::function<bool(const instance_call_content &)>;
+
+  /// @param Adapter has to outlive the handler.
+  control_endpoint(const deployment_adapter &Adapter, listener Listener)
+      : Adapter(Adapter), Listener(std::move(Listener)) {}
+
+private:
+  response answerTo(const request &Request) override;
+
+  const deployment_adapter &Adapter;
+  const listener Listener;
+  const logger Log{"control"};
+};
+
+/// Says whether the node takes work: 200 or 503.
+class readiness_endpoint final : public local_endpoint {
+public:
+  /// @param Adapter has to outlive the handler.
+  readiness_endpoint(const deployment_adapter &Adapter,
+                     std::function<bool()> IsReady)
+      : Adapter(Adapter), IsReady(std::move(IsReady)) {}
+
+private:
+  response answerTo(const request &Request) override;
+
+  const deployment_adapter &Adapter;
+  const std::function<bool()> IsReady;
+};
+
+/// Gives the counters and histograms as Prometheus text.
+class metrics_endpoint final : public local_endpoint {
+public:
+  /// @param Metrics has to outlive the handler.
+  explicit metrics_endpoint(const metrics_registry &Metrics)
+      : Metrics(Metrics) {}
+
+private:
+  response answerTo(const request &Request) override;
+
+  const metrics_registry &Metrics;
+};
+
+} // namespace clementine::proxy
+
+#endif
--- /dev/null
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -0,0 +1,617 @@
+#include "clementine_proxy/node/proxy_node.h"
+
+#include "clementine_proxy/entry/forwarder.h"
+#include "clementine_proxy/gate/instance_client.h"
+#include "clementine_proxy/http/http_session.h"
+#include "clementine_proxy/model/boot_clock.h"
+#include "clementine_proxy/node/operator_endpoints.h"
+#include "clementine_proxy/node/store_duties.h"
+#include "clementine_proxy/peers/peer_hub.h"
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <future>
+#include <random>
+#include <utility>
+
+namespace clementine::proxy {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds HousekeepingInterval{200};
+/// How long callers take to turn away from a node that is not ready: two missed
+/// probes and a margin.
+constexpr std::chrono::milliseconds TurnAwayTime{2600};
+/// How much of the grace is kept for the stop itself.
+constexpr std::chrono::milliseconds StopMargin{700};
+constexpr std::chrono::milliseconds StopPoll{20};
+constexpr std::size_t ControlConnections = 64;
+/// A node repeats this share of what the whole fleet may.
+constexpr double RepeatShare = 0.4;
+
+std::uint64_t randomSeed() {
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32U) | Device();
+}
+
+std::uint64_t wallMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+directory_settings directorySettingsOf(const proxy_settings &Settings) {
+  directory_settings Directory;
+  Directory.OwnNode = Settings.Name;
+  Directory.OwnZone = Settings.Zone;
+  return Directory;
+}
+
+forwarder_settings forwarderSettingsOf(const proxy_settings &Settings) {
+  forwarder_settings Forwarder;
+  Forwarder.OwnNode = Settings.Name;
+  Forwarder.OwnService = Settings.Service;
+  Forwarder.Repeats.Window = Settings.RepeatWindow;
+  Forwarder.Repeats.Ratio = RepeatShare * Settings.RepeatRatio.Value;
+  return Forwarder;
+}
+
+instance_client_settings clientSettingsOf(const proxy_settings &Settings) {
+  instance_client_settings Client;
+  Client.Address = Settings.InstanceAddress;
+  return Client;
+}
+
+} // namespace
+
+/// The parts and the wires between them. Everything but the duties of the store
+/// runs on the loop's thread.
+class proxy_node::implementation final : private peer_hub_listener,
+                                         private forward_port,
+                                         private gate_port,
+                                         private http_handler {
+public:
+  implementation(proxy_settings Given, deployment_adapter &Adapter)
+      : Settings(std::move(Given)), Adapter(Adapter), Random(randomSeed()),
+        Incarnation(wallMilliseconds()),
+        Book(Settings.Service, Settings.InstanceAddress), Gate({}, Book, *this),
+        Client(Loop, clientSettingsOf(Settings), Adapter.headers(),
+               [this](const attempt_id &Attempt, instance_result Result) {
+                 Gate.instanceEnded(Attempt, std::move(Result), now());
+                 schedule();
+               }),
+        Directory(directorySettingsOf(Settings), Random),
+        Forwarder(forwarderSettingsOf(Settings), Adapter.headers(), Directory,
+                  *this, Random),
+        Peers(Loop, {}, Settings.PeerListen, *this), Wake(Loop),
+        Housekeeping(Loop),
+        Outbound(Loop, Settings.OutboundListen, *this, Settings.MaxConnections),
+        ControlHandler(Adapter,
+                       [this](const instance_call_content &Content) {
+                         return instanceSaid(Content);
+                       }),
+        ReadyHandler(Adapter, [this] { return isReady(); }),
+        MetricsHandler(Metrics), Control(Loop, Settings.ControlListen,
+                                         ControlHandler, ControlConnections),
+        Ready(Loop, Settings.ReadyListen, ReadyHandler, ControlConnections),
+        MetricsServer(Loop, Settings.MetricsListen, MetricsHandler,
+                      ControlConnections),
+        ConfigFollower("config", Adapter.store(), Adapter.configKey(),
+                       store_duty_settings{}, configListener()),
+        RecordFollower("nodes", Adapter.store(), std::string(RecordPrefix),
+                       store_duty_settings{}, recordListener()),
+        Keeper(Adapter.store(), std::string(RecordPrefix) + Settings.Name,
+               store_duty_settings{}),
+        Root("proxy") {
+    arrange();
+  }
+
+  void start() {
+    Peers.start();
+    Outbound.start();
+    Control.start();
+    Ready.start();
+    MetricsServer.start();
+    houseKeep();
+    publish();
+    Root.start();
+    Log.info("node started", {{"node", Settings.Name},
+                              {"zone", Settings.Zone},
+                              {"service", Settings.Service},
+                              {"incarnation", Incarnation},
+                              {"version", CLEMENTINE_VERSION}});
+  }
+
+  bool stop() {
+    const instant Begun = now();
+    Log.info("node is leaving");
+    runOnLoop([this] { leave(); });
+    const instant End = Begun + Settings.StopGrace - StopMargin;
+    bool IsFinished = false;
+    while (!IsFinished && now() < End) {
+      std::this_thread::sleep_for(StopPoll);
+      if (now() - Begun < TurnAwayTime)
+        continue;
+      runOnLoop([&] { IsFinished = isIdle(); });
+    }
+    runOnLoop([this] { close(); });
+    Root.stop();
+    Log.info("node stopped", {{"finished", IsFinished ? 1 : 0}});
+    return IsFinished;
+  }
+
+private:
+  static instant now() { return boot_clock().now(); }
+
+  template <class Action> void runOnLoop(const Action &Todo) {
+    std::promise<void> Done;
+    asio::post(Loop, [&] {
+      Todo();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+
+  std::shared_ptr<supervised> dutyOf(const std::string &Name,
+                                     duty::body_function Body,
+                                     duty::wake_function WakeUp) {
+    return std::make_shared<duty>(
+        Name, std::move(Body), std::move(WakeUp),
+        [](const std::string &Duty, const std::string &Reason) {
+          logger("supervisor")
+              .error("duty failed for good",
+                     {{"duty", Duty}, {"reason", Reason}});
+          std::abort();
+        });
+  }
+
+  /// The loop starts first and stops last: the duties of the store post to it.
+  void arrange() {
+    Root.add(dutyOf(
+        "loop", [this](const auto &) { Loop.run(); }, [this] { Loop.stop(); }));
+    auto Store = std::make_shared<supervisor>("store");
+    for (prefix_follower *Each : {&ConfigFollower, &RecordFollower})
+      Store->add(dutyOf(
+          Each->name(), [Each](const auto &Stopping) { Each->run(Stopping); },
+          [Each] { Each->wake(); }));
+    Store->add(dutyOf(
+        "record", [this](const auto &Stopping) { Keeper.run(Stopping); },
+        [this] { Keeper.wake(); }));
+    Root.add(Store);
+  }
+
+  prefix_follower::listener configListener() {
+    return {[this](const std::vector<platform_entry> &Entries) {
+              for (const platform_entry &Entry : Entries)
+                readConfig(Entry);
+            },
+            [this](const platform_event &Event) {
+              if (Event.Kind == platform_event::kind::Put)
+                readConfig(Event.Entry);
+            },
+            [this](bool IsConnected) {
+              Metrics
+                  .gaugeFor("clementine_store_connected",
+                            "Whether the store can be followed.")
+                  .set(IsConnected ? 1 : 0);
+            }};
+  }
+
+  /// On the follower's thread, so that a large text does not hold up requests.
+  void readConfig(const platform_entry &Entry) {
+    if (Entry.Key != Adapter.configKey())
+      return;
+    auto Decoded = Adapter.decodeConfig(Entry.Value);
+    if (!Decoded) {
+      Log.error(
+          "configuration not usable",
+          {{"revision", Entry.ModRevision}, {"error", Decoded.error().text()}});
+      return;
+    }
+    auto Config =
+        std::make_shared<const routing_config>(std::move(Decoded.value()));
+    asio::post(Loop, [this, Config, Revision = Entry.ModRevision] {
+      useConfig(Config, "store", Revision);
+    });
+  }
+
+  void useConfig(const std::shared_ptr<const routing_config> &Config,
+                 std::string_view Source, std::int64_t Revision) {
+    const std::uint64_t Before = Forwarder.configVersion();
+    if (!Forwarder.setConfig(Config))
+      return;
+    Log.info("configuration in force", {{"version", Config->Version},
+                                        {"before", Before},
+                                        {"routes", Config->Routes.size()},
+                                        {"source", Source},
+                                        {"revision", Revision}});
+  }
+
+  prefix_follower::listener recordListener() {
+    return {[this](const std::vector<platform_entry> &Entries) {
+              std::vector<node_record> Records;
+              for (const platform_entry &Entry : Entries)
+                if (auto Record = decodeRecord(Entry))
+                  Records.push_back(std::move(*Record));
+              asio::post(Loop, [this, Records] {
+                Directory.replaceAll(Records, now());
+              });
+            },
+            [this](const platform_event &Event) { recordChanged(Event); },
+            [](bool) {}};
+  }
+
+  std::optional<node_record> decodeRecord(const platform_entry &Entry) {
+    auto Record = node_record::decode(Entry.Value);
+    if (!Record ||
+        RecordPrefix.size() + Record->Node.size() != Entry.Key.size() ||
+        !Entry.Key.ends_with(Record->Node)) {
+      Log.warning("record not usable", {{"key", Entry.Key}});
+      return std::nullopt;
+    }
+    return Record;
+  }
+
+  void recordChanged(const platform_event &Event) {
+    if (Event.Kind == platform_event::kind::Delete) {
+      const std::string Node = Event.Entry.Key.substr(
+          std::min(RecordPrefix.size(), Event.Entry.Key.size()));
+      asio::post(Loop, [this, Node, Revision = Event.Entry.ModRevision] {
+        Log.info("record vanished", {{"node", Node}, {"revision", Revision}});
+        Directory.vanished(Node, now());
+      });
+      return;
+    }
+    if (auto Record = decodeRecord(Event.Entry))
+      asio::post(Loop, [this, Record = std::move(*Record),
+                        Revision = Event.Entry.ModRevision] {
+        Log.info("record changed", {{"node", Record.Node},
+                                    {"incarnation", Record.Incarnation},
+                                    {"service", Record.Service},
+                                    {"instance", Record.Instance},
+                                    {"revision", Revision}});
+        Directory.record(Record);
+      });
+  }
+
+  /// @name The instance
+  bool instanceSaid(const instance_call_content &Content) {
+    if (const auto *Report = std::get_if<instance_report>(&Content))
+      return instanceReported(*Report);
+    const auto &Departure = std::get<instance_departure>(Content);
+    const bool IsPresent =
+        Book.deregister(Departure.Instance, Departure.StartedAt);
+    Log.info("instance leaves", {{"instance", Departure.Instance},
+                                 {"present", IsPresent ? 1 : 0}});
+    instanceChanged();
+    return true;
+  }
+
+  bool instanceReported(const instance_report &Report) {
+    const auto Before = Book.current();
+    const report_verdict Verdict = Book.report(Report);
+    const bool IsNews = !Before || Verdict != report_verdict::Accepted ||
+                        Before->Instance != Report.Instance ||
+                        Before->State != Report.State ||
+                        Before->StartedAt != Report.StartedAt;
+    if (IsNews)
+      Log.info("instance report",
+               {{"verdict", reportVerdictName(Verdict)},
+                {"instance", Report.Instance},
+                {"service", Report.Service},
+                {"address", Report.Address.text()},
+                {"state",
+                 Report.State == instance_state::Ready ? "ready" : "draining"},
+                {"started", Report.StartedAt},
+                {"sequence", Report.Sequence},
+                {"slots", Report.Slots}});
+    if (Verdict == report_verdict::Foreign)
+      return false;
+    if (Verdict == report_verdict::Accepted) {
+      if (Before && (Before->Instance != Report.Instance ||
+                     Before->StartedAt != Report.StartedAt))
+        Client.dropIdle();
+      instanceChanged();
+    }
+    return true;
+  }
+
+  void instanceChanged() {
+    Gate.instanceChanged(now());
+    const gate_status Status = visibleStatus();
+    if (Status.Instance != AnnouncedInstance) {
+      AnnouncedInstance = Status.Instance;
+      Peers.announceStatus();
+      publish();
+    }
+    Directory.status(Settings.Name, Gate.status(now()));
+    schedule();
+  }
+
+  node_record ownRecord() const {
+    const instance_report *Instance = Book.ready();
+    const bool Shows = Instance != nullptr && !IsLeaving;
+    return {Settings.Name,
+            Incarnation,
+            Settings.Zone,
+            Settings.PeerListen,
+            Settings.Service,
+            Shows ? Instance->Instance : "",
+            Shows ? Instance->Slots : 0};
+  }
+
+  void publish() {
+    Directory.record(ownRecord());
+    if (IsLeaving)
+      Keeper.publish(std::nullopt);
+    else
+      Keeper.publish(ownRecord());
+  }
+
+  /// What other nodes see of this gate.
+  gate_status visibleStatus() const {
+    gate_status Status = Gate.status(now());
+    if (IsLeaving)
+      Status.Instance.clear();
+    return Status;
+  }
+
+  /// @name peer_hub_listener
+  peer_hello hello() override {
+    return {ownRecord(), Forwarder.configVersion(), visibleStatus()};
+  }
+
+  peer_status status() override {
+    return {Forwarder.configVersion(), visibleStatus()};
+  }
+
+  void peerUp(const std::string &Node, const peer_hello &Hello) override {
+    Directory.up(Node, Hello);
+    Forwarder.linkUp(Node, Hello.Self.Incarnation, now());
+    askForConfig(Node, Hello.ConfigVersion);
+    schedule();
+  }
+
+  void peerDown(const std::string &Node, bool WasUp) override {
+    Forwarder.linkDown(Node, WasUp, now());
+    schedule();
+  }
+
+  void askForConfig(const std::string &Node, std::uint64_t Version) {
+    if (Version > Forwarder.configVersion())
+      Peers.sendTo(Node, config_request{});
+  }
+
+  void peerReplied(const std::string &Node, peer_message Message) override {
+    if (auto *Report = std::get_if<run_report>(&Message)) {
+      Forwarder.reported(Node, std::move(*Report), now());
+      schedule();
+    } else if (const auto *Status = std::get_if<peer_status>(&Message)) {
+      Directory.status(Node, Status->Gate);
+      askForConfig(Node, Status->ConfigVersion);
+    } else if (auto *Transfer = std::get_if<config_transfer>(&Message)) {
+      useConfig(
+          std::make_shared<const routing_config>(std::move(Transfer->Config)),
+          Node, 0);
+    }
+  }
+
+  void peerAsked(std::uint64_t Link, peer_message Message) override {
+    const instant Now = now();
+    if (auto *Order = std::get_if<run_order>(&Message))
+      Gate.order(Link, std::move(*Order), Now);
+    else if (const auto *Query = std::get_if<run_query>(&Message))
+      Gate.query(Link, *Query, Now);
+    else if (const auto *Cancel = std::get_if<run_cancel>(&Message))
+      Gate.cancel(*Cancel, Now);
+    else if (std::holds_alternative<config_request>(Message)) {
+      if (Forwarder.config())
+        Peers.reply(Link, config_transfer{*Forwarder.config()});
+    } else if (const auto *Hello = std::get_if<peer_hello>(&Message)) {
+      learnFrom(*Hello);
+    } else if (const auto *Probe = std::get_if<peer_probe>(&Message)) {
+      (void)Probe;
+    }
+    schedule();
+  }
+
+  /// A node that links here may be unknown to a store that is away.
+  void learnFrom(const peer_hello &Hello) {
+    if (Directory.find(Hello.Self.Node) == nullptr)
+      Directory.record(Hello.Self);
+    const known_gate *Gate = Directory.find(Hello.Self.Node);
+    if (Hello.ConfigVersion > Forwarder.configVersion() && Gate != nullptr)
+      Peers.open(Hello.Self.Node, Gate->Record.Peer);
+  }
+
+  /// @name forward_port
+  bool openLink(const node_record &Target) override {
+    return Target.Node == Settings.Name || Peers.open(Target.Node, Target.Peer);
+  }
+
+  void send(const std::string &Node, peer_message Message) override {
+    if (Node == Settings.Name)
+      asio::post(Loop, [this, Message = std::move(Message)]() mutable {
+        peerAsked(OwnEntryLink, std::move(Message));
+      });
+    else
+      Peers.sendTo(Node, Message);
+  }
+
+  void answer(call_number Call, response Response) override {
+    const auto Found = Responders.find(Call);
+    if (Found == Responders.end())
+      return;
+    const responder Respond = std::move(Found->second);
+    Responders.erase(Found);
+    Metrics
+        .counterFor("clementine_answers_total", "Answers given to callers.",
+                    {{"status", std::to_string(Response.Status)}})
+        .add();
+    Respond(std::move(Response));
+  }
+
+  /// @name gate_port
+  void callInstance(instance_call Call) override {
+    Client.call(std::move(Call));
+  }
+
+  void abortInstance(const attempt_id &Attempt) override {
+    Client.abort(Attempt);
+  }
+
+  void report(std::uint64_t Link, run_report Report) override {
+    if (Link != OwnEntryLink) {
+      if (IsLeaving)
+        Report.Gate.Instance.clear();
+      return Peers.reply(Link, Report);
+    }
+    asio::post(Loop, [this, Report = std::move(Report)]() mutable {
+      Forwarder.reported(Settings.Name, std::move(Report), now());
+      schedule();
+    });
+  }
+
+  /// @name http_handler for callers
+  void handle(request Request, responder Respond,
+              departure &WhenGone) override {
+    const call_number Call = ++LastCall;
+    Responders.emplace(Call, std::move(Respond));
+    WhenGone = [this, Call] {
+      Responders.erase(Call);
+      Forwarder.callerGone(Call, now());
+      schedule();
+    };
+    Forwarder.begin(Call, std::move(Request), now());
+    schedule();
+  }
+
+  caller_limits limits() const override {
+    return Forwarder.config() ? Forwarder.config()->Limits : caller_limits{};
+  }
+
+  bool isClosing() const override { return IsLeaving && IsTurnedAway; }
+
+  bool isReady() const { return !IsLeaving && Forwarder.config() != nullptr; }
+
+  /// @name Time
+  /// Wakes the loop when the first decision falls due.
+  void schedule() {
+    std::optional<instant> Next = Forwarder.nextWake();
+    if (const auto GateWake = Gate.nextWake();
+        GateWake && (!Next || *GateWake < *Next))
+      Next = GateWake;
+    if (!Next || (WakeAt && *WakeAt <= *Next))
+      return;
+    WakeAt = Next;
+    Wake.expires_after(std::max<duration>(*Next - now(), duration(0)));
+    Wake.async_wait([this](const auto &Error) {
+      if (Error)
+        return;
+      WakeAt.reset();
+      const instant Now = now();
+      Gate.passTime(Now);
+      Forwarder.passTime(Now);
+      schedule();
+    });
+  }
+
+  void houseKeep() {
+    const instant Now = now();
+    for (const std::string &Node : Directory.prune(
+             [this](const std::string &Name) {
+               return Name == Settings.Name || Peers.isUp(Name);
+             },
+             Now)) {
+      Log.info("node dropped", {{"node", Node}});
+      Peers.forget(Node);
+    }
+    Forwarder.reopenLinks();
+    // Timers stand still while the VM is suspended.
+    Gate.passTime(Now);
+    Forwarder.passTime(Now);
+    IsTurnedAway = IsLeaving && Now - LeavingSince > TurnAwayTime;
+    Housekeeping.expires_after(HousekeepingInterval);
+    Housekeeping.async_wait([this](const auto &Error) {
+      if (!Error)
+        houseKeep();
+    });
+  }
+
+  /// @name The stop
+  void leave() {
+    IsLeaving = true;
+    LeavingSince = now();
+    publish();
+    Peers.announceStatus();
+  }
+
+  bool isIdle() const {
+    return Forwarder.active() == 0 && Gate.active() == 0 && !Outbound.isBusy();
+  }
+
+  void close() {
+    Outbound.stop();
+    Control.stop();
+    Ready.stop();
+    MetricsServer.stop();
+    Peers.stop();
+    Client.stop();
+    Wake.cancel();
+    Housekeeping.cancel();
+  }
+
+  const proxy_settings Settings;
+  deployment_adapter &Adapter;
+  const logger Log{"node"};
+  seeded_random Random;
+  const std::uint64_t Incarnation;
+  metrics_registry Metrics;
+  asio::io_context Loop{1};
+  asio::executor_work_guard<asio::io_context::executor_type> Work{
+      Loop.get_executor()};
+  instance_book Book;
+  instance_gate Gate;
+  instance_client Client;
+  instance_directory Directory;
+  forwarder Forwarder;
+  peer_hub Peers;
+  asio::steady_timer Wake;
+  std::optional<instant> WakeAt;
+  asio::steady_timer Housekeeping;
+  http_listener Outbound;
+  control_endpoint ControlHandler;
+  readiness_endpoint ReadyHandler;
+  metrics_endpoint MetricsHandler;
+  http_listener Control;
+  http_listener Ready;
+  http_listener MetricsServer;
+  prefix_follower ConfigFollower;
+  prefix_follower RecordFollower;
+  record_keeper Keeper;
+  supervisor Root;
+  std::unordered_map<call_number, responder> Responders;
+  call_number LastCall = 0;
+  std::string AnnouncedInstance;
+  bool IsLeaving = false;
+  bool IsTurnedAway = false;
+  instant LeavingSince;
+};
+
+proxy_node::proxy_node(proxy_settings Settings, deployment_adapter &Adapter)
+    : Implementation(
+          std::make_unique<implementation>(std::move(Settings), Adapter)) {}
+
+proxy_node::~proxy_node() = default;
+
+void proxy_node::start() { Implementation->start(); }
+
+bool proxy_node::stop() { return Implementation->stop(); }
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -0,0 +1,255 @@
+#include "clementine_proxy/peers/peer_hub.h"
+
+#include "clementine_proxy/model/boot_clock.h"
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace clementine::proxy {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+const logger &log() {
+  static const logger Log("peers");
+  return Log;
+}
+
+constexpr std::chrono::milliseconds TickInterval{100};
+/// A gap between two ticks that shows that the process stood still.
+constexpr std::chrono::milliseconds OwnPause{600};
+
+instant now() { return boot_clock().now(); }
+
+} // namespace
+
+peer_hub::peer_hub(asio::io_context &Loop, peer_hub_settings Settings,
+                   endpoint Listen, peer_hub_listener &Listener)
+    : Loop(Loop), Settings(Settings), Listen(std::move(Listen)),
+      Listener(Listener), Acceptor(Loop), Timer(Loop) {}
+
+peer_hub::~peer_hub() = default;
+
+void peer_hub::start() {
+  const tcp::endpoint Address(asio::ip::make_address(Listen.Host), Listen.Port);
+  Acceptor.open(Address.protocol());
+  Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Acceptor.bind(Address);
+  Acceptor.listen();
+  accept();
+  tick();
+}
+
+void peer_hub::stop() {
+  IsStopped = true;
+  boost::system::error_code Ignored; // Everything is given up either way.
+  Acceptor.close(Ignored);
+  Timer.cancel();
+  for (auto &[Number, Link] : Accepted)
+    Link->close();
+  for (auto &[Node, Entry] : Dialled) {
+    if (Entry.Connecting)
+      Entry.Connecting->close(Ignored);
+    if (Entry.Link)
+      Entry.Link->close();
+  }
+}
+
+void peer_hub::accept() {
+  Acceptor.async_accept([this](const auto &Error, tcp::socket Socket) {
+    if (IsStopped || Error == asio::error::operation_aborted)
+      return;
+    if (Error) {
+      log().warning("accept failed", {{"error", Error.message()}});
+    } else {
+      const std::uint64_t Number = NextNumber++;
+      auto Link =
+          std::make_shared<peer_link>(std::move(Socket), links(), Number);
+      Accepted.emplace(Number, Link);
+      Link->start();
+    }
+    accept();
+  });
+}
+
+bool peer_hub::open(const std::string &Node, const endpoint &Address) {
+  dialled &Entry = Dialled[Node];
+  if (Entry.Address != Address) {
+    if (Entry.Link)
+      Entry.Link->close();
+    Entry.Address = Address;
+    Entry.FailedAt = instant();
+  }
+  if (Entry.IsUp || Entry.Link || Entry.Connecting)
+    return Entry.IsUp;
+  dial(Node, Entry);
+  return false;
+}
+
+bool peer_hub::isUp(const std::string &Node) const {
+  const auto Found = Dialled.find(Node);
+  return Found != Dialled.end() && Found->second.IsUp;
+}
+
+void peer_hub::dial(const std::string &Node, dialled &Entry) {
+  Entry.DialledAt = now();
+  auto Socket = std::make_shared<tcp::socket>(Loop);
+  Entry.Connecting = Socket;
+  const tcp::endpoint Address(asio::ip::make_address(Entry.Address.Host),
+                              Entry.Address.Port);
+  Socket->async_connect(Address, [this, Node, Socket](const auto &Error) {
+    connected(Node, Error, Socket);
+  });
+}
+
+void peer_hub::connected(const std::string &Node,
+                         const boost::system::error_code &Error,
+                         const std::shared_ptr<tcp::socket> &Socket) {
+  const auto Found = Dialled.find(Node);
+  if (IsStopped || Found == Dialled.end() || Found->second.Connecting != Socket)
+    return;
+  Found->second.Connecting.reset();
+  if (Error)
+    return fail(Node);
+  const std::uint64_t Number = NextNumber++;
+  auto Link = std::make_shared<peer_link>(std::move(*Socket), links(), Number);
+  Found->second.Link = Link;
+  DialledByLink[Number] = Node;
+  Link->start();
+  Link->send(Listener.hello());
+}
+
+void peer_hub::fail(const std::string &Node) {
+  const auto Found = Dialled.find(Node);
+  if (Found == Dialled.end())
+    return;
+  const bool WasUp = Found->second.IsUp;
+  Found->second.IsUp = false;
+  Found->second.Link.reset();
+  Found->second.FailedAt = now();
+  log().info("link lost", {{"peer", Node}, {"was_up", WasUp ? 1 : 0}});
+  Listener.peerDown(Node, WasUp);
+}
+
+void peer_hub::sendTo(const std::string &Node, const peer_message &Message) {
+  const auto Found = Dialled.find(Node);
+  if (Found != Dialled.end() && Found->second.Link)
+    Found->second.Link->send(Message);
+}
+
+void peer_hub::reply(std::uint64_t Link, const peer_message &Message) {
+  const auto Found = Accepted.find(Link);
+  if (Found != Accepted.end())
+    Found->second->send(Message);
+}
+
+void peer_hub::announceStatus() {
+  for (auto &[Number, Link] : Accepted)
+    Link->send(Listener.status());
+}
+
+void peer_hub::forget(const std::string &Node) {
+  const auto Found = Dialled.find(Node);
+  if (Found == Dialled.end())
+    return;
+  boost::system::error_code Ignored; // The socket is given up either way.
+  if (Found->second.Connecting)
+    Found->second.Connecting->close(Ignored);
+  const auto Link = Found->second.Link;
+  Dialled.erase(Found);
+  if (Link) {
+    DialledByLink.erase(Link->number());
+    Link->close();
+  }
+}
+
+void peer_hub::linkMessage(const std::shared_ptr<peer_link> &Link,
+                           peer_message Message) {
+  const auto Owner = DialledByLink.find(Link->number());
+  const bool IsDialled = Owner != DialledByLink.end();
+  if (auto *Hello = std::get_if<peer_hello>(&Message)) {
+    Link->Peer = Hello->Self;
+    if (!IsDialled) {
+      Link->send(Listener.hello());
+      return Listener.peerAsked(Link->number(), std::move(Message));
+    }
+    const std::string Node = Owner->second;
+    if (Hello->Self.Node != Node) {
+      // Another node has the address now.
+      log().warning("peer is not who was dialled",
+                    {{"peer", Node}, {"found", Hello->Self.Node}});
+      return Link->close();
+    }
+    Dialled[Node].IsUp = true;
+    log().info("link up", {{"peer", Node},
+                           {"incarnation", Hello->Self.Incarnation},
+                           {"config", Hello->ConfigVersion}});
+    return Listener.peerUp(Node, *Hello);
+  }
+  if (IsDialled)
+    return Listener.peerReplied(std::string(Owner->second), std::move(Message));
+  if (std::holds_alternative<peer_probe>(Message))
+    Link->send(Listener.status());
+  Listener.peerAsked(Link->number(), std::move(Message));
+}
+
+void peer_hub::linkClosed(const std::shared_ptr<peer_link> &Link) {
+  Accepted.erase(Link->number());
+  const auto Owner = DialledByLink.find(Link->number());
+  if (Owner == DialledByLink.end())
+    return;
+  const std::string Node = Owner->second;
+  DialledByLink.erase(Owner);
+  const auto Found = Dialled.find(Node);
+  if (!IsStopped && Found != Dialled.end() && Found->second.Link == Link)
+    fail(Node);
+}
+
+void peer_hub::tick() {
+  if (IsStopped)
+    return;
+  const instant Now = now();
+  // After a pause of this process the silence was its own.
+  if (Now - LastTick > OwnPause)
+    for (auto &[Node, Entry] : Dialled)
+      if (Entry.Link)
+        Entry.Link->heard(Now);
+  LastTick = Now;
+  std::vector<std::string> Failed;
+  for (auto &[Node, Entry] : Dialled) {
+    if (!Entry.IsUp && (Entry.Connecting || Entry.Link) &&
+        Now - Entry.DialledAt > Settings.ConnectTimeout) {
+      Failed.push_back(Node);
+      continue;
+    }
+    if (!Entry.Link || !Entry.IsUp)
+      continue;
+    if (Now - Entry.Link->lastHeard() > Settings.SilenceLimit) {
+      log().warning("link is silent", {{"peer", Node}});
+      Entry.Link->close();
+    } else if (Now - Entry.ProbedAt >= Settings.ProbeInterval) {
+      Entry.ProbedAt = Now;
+      Entry.Link->send(peer_probe{Listener.status().ConfigVersion});
+    }
+  }
+  for (const std::string &Node : Failed) {
+    dialled &Entry = Dialled[Node];
+    boost::system::error_code Ignored; // The attempt is given up either way.
+    if (Entry.Connecting)
+      std::exchange(Entry.Connecting, nullptr)->close(Ignored);
+    if (Entry.Link) {
+      DialledByLink.erase(Entry.Link->number());
+      std::exchange(Entry.Link, nullptr)->close();
+    }
+    fail(Node);
+  }
+  Timer.expires_after(TickInterval);
+  Timer.async_wait([this](const auto &Error) {
+    if (!Error)
+      tick();
+  });
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/peers/peer_link.cpp
@@ -0,0 +1,110 @@
+#include "clementine_proxy/peers/peer_link.h"
+
+#include "clementine_proxy/model/boot_clock.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+namespace clementine::proxy {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t ReadChunk = 16 * 1024;
+
+} // namespace
+
+void tunePeerSocket(asio::ip::tcp::socket &Socket,
+                    unsigned UserTimeoutMilliseconds) {
+  boost::system::error_code Ignored; // The link works without either option.
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  using user_timeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  Socket.set_option(user_timeout(static_cast<int>(UserTimeoutMilliseconds)),
+                    Ignored);
+}
+
+peer_link::peer_link(asio::ip::tcp::socket Socket, peer_link_listener &Listener,
+                     std::uint64_t Number)
+    : Socket(std::move(Socket)), Listener(Listener), Number(Number),
+      LastHeard(boot_clock().now()) {
+  tunePeerSocket(this->Socket, UserTimeout);
+}
+
+void peer_link::start() { read(); }
+
+void peer_link::send(const peer_message &Message) {
+  if (!IsOpen)
+    return;
+  Unsent += encodeFrame(Message);
+  if (Unsent.size() > MaxUnsent)
+    return close();
+  if (Sending.empty())
+    write();
+}
+
+void peer_link::close() {
+  if (!IsOpen)
+    return;
+  IsOpen = false;
+  boost::system::error_code Ignored; // The socket is given up either way.
+  Socket.close(Ignored);
+  asio::post(Socket.get_executor(),
+             [Self = shared_from_this()] { Self->Listener.linkClosed(Self); });
+}
+
+void peer_link::read() {
+  const std::size_t Held = Input.size();
+  Input.resize(Held + ReadChunk);
+  Socket.async_read_some(
+      asio::buffer(Input.data() + Held, ReadChunk),
+      [Self = shared_from_this(), Held](const auto &Error, std::size_t Bytes) {
+        Self->Input.resize(Held + Bytes);
+        Self->readDone(Error, Bytes);
+      });
+}
+
+void peer_link::readDone(const boost::system::error_code &Error,
+                         std::size_t Bytes) {
+  if (!IsOpen)
+    return;
+  if (Error || Bytes == 0)
+    return close();
+  LastHeard = boot_clock().now();
+  std::size_t Offset = 0;
+  while (IsOpen) {
+    peer_message Message;
+    const frame_progress Progress = decodeFrame(Input, Offset, Message);
+    if (Progress == frame_progress::Incomplete)
+      break;
+    if (Progress == frame_progress::Malformed)
+      return close();
+    Listener.linkMessage(shared_from_this(), std::move(Message));
+  }
+  Input.erase(0, Offset);
+  if (Input.empty())
+    Input.shrink_to_fit();
+  if (IsOpen)
+    read();
+}
+
+void peer_link::write() {
+  Sending.swap(Unsent);
+  asio::async_write(
+      Socket, asio::buffer(Sending),
+      [Self = shared_from_this()](const auto &Error, std::size_t /*Bytes*/) {
+        Self->Sending.clear();
+        if (!Self->IsOpen)
+          return;
+        if (Error)
+          return Self->close();
+        if (!Self->Unsent.empty())
+          Self->write();
+      });
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -0,0 +1,233 @@
+#include "clementine_proxy/peers/peer_messages.h"
+
+#include "clementine_wire/codec/bounded_field.h"
+
+#include <boost/endian/conversion.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/variant.hpp>
+
+#include <boost/iostreams/device/array.hpp>
+#include <boost/iostreams/device/back_inserter.hpp>
+#include <boost/iostreams/stream.hpp>
+
+#include <cstring>
+
+namespace clementine {
+
+constexpr std::uint32_t LongestAddress = 64;
+
+template <class Archive> void serialize(Archive &Fields, endpoint &Value) {
+  Fields(bounded_string{Value.Host, LongestAddress}, Value.Port);
+}
+
+template <class Archive> void serialize(Archive &Fields, request_id &Id) {
+  Fields(Id.High, Id.Low);
+}
+
+} // namespace clementine
+
+namespace cereal {
+
+/// A header field.
+template <class Archive>
+void serialize(Archive &Fields, std::pair<std::string, std::string> &Header) {
+  Fields(clementine::bounded_string{Header.first, 1024},
+         clementine::bounded_string{Header.second, 256 * 1024});
+}
+
+} // namespace cereal
+
+namespace clementine::proxy {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+
+constexpr std::uint32_t LongestName = 1024;
+constexpr std::uint32_t LongestHeader = 256 * 1024;
+constexpr std::uint32_t LongestBody = 70U << 20U;
+constexpr std::uint32_t MostHeaders = 1024;
+constexpr std::uint32_t MostServices = 4096;
+constexpr std::uint32_t MostRoutes = 65536;
+
+bounded_string name(std::string &Text) { return {Text, LongestName}; }
+bounded_string text(std::string &Text) { return {Text, LongestHeader}; }
+bounded_string body(std::string &Text) { return {Text, LongestBody}; }
+
+bounded_list<std::pair<std::string, std::string>> headers(header_list &List) {
+  return {List, MostHeaders};
+}
+
+template <class Archive> void transfer(Archive &Target, duration &Value) {
+  auto Nanoseconds = static_cast<std::int64_t>(Value.count());
+  Target(Nanoseconds);
+  Value = duration(Nanoseconds);
+}
+
+} // namespace
+
+template <class Archive>
+void serialize(Archive &Target, weighted_service &Value) {
+  Target(name(Value.Service), Value.Weight);
+}
+
+template <class Archive> void serialize(Archive &Target, route &Value) {
+  Target(name(Value.Name), name(Value.Host), text(Value.Prefix),
+         Value.IsIdempotent);
+  transfer(Target, Value.Timeout);
+  transfer(Target, Value.LatencyObjective);
+  Target(Value.Priority, Value.MaxAttempts,
+         bounded_list<weighted_service>{Value.Services, MostServices});
+}
+
+template <class Archive>
+void serialize(Archive &Target, service_description &Value) {
+  Target(name(Value.Name), Value.MaxConnections);
+}
+
+template <class Archive> void serialize(Archive &Target, caller_limits &Value) {
+  Target(Value.MaxHeader, Value.MaxBody);
+  transfer(Target, Value.HeaderTimeout);
+  transfer(Target, Value.IdleTimeout);
+}
+
+template <class Archive>
+void serialize(Archive &Target, routing_config &Value) {
+  Target(Value.Version, bounded_list<route>{Value.Routes, MostRoutes},
+         bounded_list<service_description>{Value.Services, MostServices},
+         Value.Limits);
+}
+
+template <class Archive> void serialize(Archive &Target, node_record &Value) {
+  Target(name(Value.Node), Value.Incarnation, name(Value.Zone), Value.Peer,
+         name(Value.Service), name(Value.Instance), Value.Slots);
+}
+
+template <class Archive> void serialize(Archive &Target, request &Value) {
+  Target(name(Value.Method), text(Value.Target), headers(Value.Headers),
+         body(Value.Body), Value.KeepsAlive);
+}
+
+template <class Archive> void serialize(Archive &Target, response &Value) {
+  Target(Value.Status, headers(Value.Headers), body(Value.Body),
+         Value.KeepsAlive);
+}
+
+template <class Archive> void serialize(Archive &Target, gate_status &Value) {
+  Target(name(Value.Instance), Value.Running, Value.Queued, Value.Limit,
+         Value.IsReachable);
+}
+
+template <class Archive> void serialize(Archive &Target, peer_hello &Value) {
+  Target(Value.Self, Value.ConfigVersion, Value.Gate);
+}
+
+template <class Archive> void serialize(Archive &Target, run_order &Value) {
+  Target(Value.Attempt, name(Value.Service), Value.Priority, Value.IsIdempotent,
+         Value.TimeLeft, Value.Request);
+}
+
+template <class Archive> void serialize(Archive &Target, run_report &Value) {
+  Target(Value.Attempt, Value.Outcome, Value.Cause, Value.ReachedInstance,
+         Value.Response, Value.Gate);
+}
+
+template <class Archive> void serialize(Archive &Target, run_query &Value) {
+  Target(Value.Attempt);
+}
+
+template <class Archive> void serialize(Archive &Target, run_cancel &Value) {
+  Target(Value.Attempt, Value.BreaksOff);
+}
+
+template <class Archive> void serialize(Archive &Target, peer_probe &Value) {
+  Target(Value.ConfigVersion);
+}
+
+template <class Archive> void serialize(Archive &Target, peer_status &Value) {
+  Target(Value.ConfigVersion, Value.Gate);
+}
+
+template <class Archive> void serialize(Archive &, config_request &) {}
+
+template <class Archive>
+void serialize(Archive &Target, config_transfer &Value) {
+  Target(Value.Config);
+}
+
+std::string_view runOutcomeName(run_outcome Outcome) {
+  switch (Outcome) {
+  case run_outcome::Completed:
+    return "completed";
+  case run_outcome::NotRun:
+    return "not-run";
+  case run_outcome::Unknown:
+    return "unknown";
+  }
+  return "invalid";
+}
+
+std::string_view runCauseName(run_cause Cause) {
+  switch (Cause) {
+  case run_cause::None:
+    return "none";
+  case run_cause::Overloaded:
+    return "overloaded";
+  case run_cause::TooLate:
+    return "too-late";
+  case run_cause::NoInstance:
+    return "no-instance";
+  case run_cause::Unreachable:
+    return "unreachable";
+  case run_cause::Rejected:
+    return "rejected";
+  case run_cause::Cancelled:
+    return "cancelled";
+  case run_cause::Broken:
+    return "broken";
+  case run_cause::LinkLost:
+    return "link-lost";
+  case run_cause::Unheard:
+    return "unheard";
+  }
+  return "invalid";
+}
+
+std::string encodeFrame(const peer_message &Message) {
+  std::string Frame(LengthBytes, '\0');
+  {
+    boost::iostreams::stream<boost::iostreams::back_insert_device<std::string>>
+        Stream(Frame);
+    cereal::PortableBinaryOutputArchive Archive(Stream);
+    Archive(Message);
+  }
+  const auto Length = boost::endian::native_to_big(
+      static_cast<std::uint32_t>(Frame.size() - LengthBytes));
+  std::memcpy(Frame.data(), &Length, LengthBytes);
+  return Frame;
+}
+
+frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
+                           peer_message &Message) {
+  if (Buffer.size() - Offset < LengthBytes)
+    return frame_progress::Incomplete;
+  std::uint32_t Length = 0;
+  std::memcpy(&Length, Buffer.data() + Offset, LengthBytes);
+  Length = boost::endian::big_to_native(Length);
+  if (Length > MaxPeerMessage)
+    return frame_progress::Malformed;
+  if (Buffer.size() - Offset - LengthBytes < Length)
+    return frame_progress::Incomplete;
+  try {
+    boost::iostreams::stream<boost::iostreams::array_source> Stream(
+        Buffer.data() + Offset + LengthBytes, Length);
+    cereal::PortableBinaryInputArchive Archive(Stream);
+    Archive(Message);
+  } catch (const std::exception &) {
+    return frame_progress::Malformed;
+  }
+  Offset += LengthBytes + Length;
+  return frame_progress::Complete;
+}
+
+} // namespace clementine::proxy
--- a/modules/clementine_telemetry/logs/log_output.cpp
+++ b/modules/clementine_telemetry/logs/log_output.cpp
@@ -86,4 +86,8 @@
   return {&std::clog, [](std::ostream *) {}};
 }
 
+std::shared_ptr<std::ostream> standardOutputStream() {
+  return {&std::cout, [](std::ostream *) {}};
+}
+
 } // namespace clementine
--- a/modules/clementine_telemetry/logs/log_output.h
+++ b/modules/clementine_telemetry/logs/log_output.h
@@ -39,6 +39,9 @@
 /// @returns the standard error stream, which is never closed.
 std::shared_ptr<std::ostream> standardErrorStream();
 
+/// @returns the standard output stream, which is never closed.
+std::shared_ptr<std::ostream> standardOutputStream();
+
 } // namespace clementine
 
 #endif
