Gate: the least urgent work is held back where it fails

Ruled out: too few slots at the gates (the instances turned 9,709 of 106,299 arrivals away themselves). Change: each gate bounds how many of the least urgent runs are under way by how many of them fail (additive increase, multiplicative decrease).

--- a/modules/clementine_platform/etcd/http_channel.cpp
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -70,6 +70,9 @@
       curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, &handle::stopsHere);
       curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, Stopping);
       curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
+      // On a kept connection the library would make a broken call again by
+      // itself, and the caller of a long poll would not learn of the break.
+      curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
     }
     return performWhole(CallTimeout > duration(0) ? CallTimeout
                                                   : Limits.CallTimeout);
--- a/modules/clementine_platform/etcd/http_channel.h
+++ b/modules/clementine_platform/etcd/http_channel.h
@@ -60,7 +60,8 @@
 
   /// Asks for @p Path and waits for the whole answer, whatever its status.
   /// @param CallTimeout the time allowed; 0 for that of the limits.
-  /// @param Stopping may be null; once true, the call ends within a second.
+  /// @param Stopping null but for a long poll: once true, the call ends within
+  /// a second, and a broken connection always shows as a failure.
   result<answer, platform_error>
   get(const std::string &Path, duration CallTimeout = duration(0),
       const std::atomic<bool> *Stopping = nullptr);
--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -131,6 +131,7 @@
   Order.Service = Call.Service;
   Order.Priority = Call.Route->Priority;
   Order.IsIdempotent = Call.Route->IsIdempotent;
+  Order.IsLeastUrgent = Call.Route->Priority >= Call.Config->lowestUrgency();
   Order.TimeLeft = duration_cast<microseconds>(Call.TimeoutAt - Now).count();
   Order.Request = Call.Request;
   Call.Attempt->IsSent = true;
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr unsigned FirstServerError = 500;
+
 const logger &log() {
   static const logger Log("gate");
   return Log;
@@ -60,14 +62,17 @@
     return;
   }
   const instant Deadline = Now + std::chrono::microseconds(Order.TimeLeft);
-  const auto &Run =
-      Runs.emplace(Attempt, active_run{Link, std::move(Order), Deadline, false})
-          .first->second;
+  active_run &Run = Runs[Attempt];
+  Run.Link = Link;
+  Run.Order = std::move(Order);
+  Run.Deadline = Deadline;
   if (Book.ready() == nullptr || !Admission ||
       Run.Order.Service != Book.ready()->Service)
     return refuse(Attempt, run_cause::NoInstance, Now);
   if (Now < UnreachableUntil)
     return refuse(Attempt, run_cause::Unreachable, Now);
+  if (isHeldBack(Run))
+    return refuse(Attempt, run_cause::HeldBack, Now);
   admission_ticket Ticket;
   Ticket.RequestId = Attempt;
   Ticket.Importance = importanceOf(Run.Order.Priority);
@@ -76,17 +81,38 @@
   const offer_decision Decision = Admission->offer(Ticket, Now);
   obey(Decision.Others, Now);
   if (Decision.Verdict == offer_verdict::Admitted)
-    start(Attempt);
+    start(Attempt, Now);
   else if (Decision.Verdict == offer_verdict::Refused)
     refuse(Attempt, causeOf(Decision.Reason), Now);
 }
 
-void instance_gate::start(const attempt_id &Attempt) {
+bool instance_gate::isHeldBack(active_run &Run) {
+  if (!Run.Order.IsLeastUrgent)
+    return false;
+  if (!Downstream->admits())
+    return true;
+  Run.IsLimited = true;
+  Downstream->started();
+  return false;
+}
+
+void instance_gate::learn(const active_run &Run, const instance_result &Result,
+                          instant Now) {
+  if (!Run.IsLimited || !Downstream)
+    return;
+  if (!Run.IsRunning || Result.Outcome != run_outcome::Completed)
+    return Downstream->dropped();
+  Downstream->ended(Result.Response.Status >= FirstServerError, Run.StartedAt,
+                    Now);
+}
+
+void instance_gate::start(const attempt_id &Attempt, instant Now) {
   const auto Found = Runs.find(Attempt);
   if (Found == Runs.end())
     return;
   active_run &Run = Found->second;
   Run.IsRunning = true;
+  Run.StartedAt = Now;
   Port.callInstance({Attempt, Instance, Run.Order.IsIdempotent, Run.Deadline,
                      std::move(Run.Order.Request)});
 }
@@ -95,7 +121,7 @@
   for (const refused_ticket &Refused : Actions.Refused)
     refuse(Refused.Ticket.RequestId, causeOf(Refused.Reason), Now);
   for (const admission_ticket &Started : Actions.Started)
-    start(Started.RequestId);
+    start(Started.RequestId, Now);
 }
 
 void instance_gate::refuse(const attempt_id &Attempt, run_cause Cause,
@@ -111,6 +137,7 @@
   if (Found == Runs.end())
     return;
   const std::uint64_t Link = Found->second.Link;
+  learn(Found->second, Result, Now);
   if (Result.Outcome != run_outcome::Completed)
     log().info("run not completed",
                {log_field(Attempt),
@@ -119,7 +146,9 @@
                 {"instance", Instance},
                 {"running", Admission ? Admission->running() : 0},
                 {"queued", Admission ? Admission->queued() : 0},
-                {"limit", Slots}});
+                {"limit", Slots},
+                {"least_urgent_limit",
+                 Downstream ? static_cast<int>(Downstream->limit()) : 0}});
   Runs.erase(Found);
   run_report Report{Attempt,
                     Result.Outcome,
@@ -219,6 +248,7 @@
   Instance = Ready->Instance;
   Slots = Ready->Slots;
   UnreachableUntil = instant();
+  Downstream = std::make_unique<downstream_limiter>(Settings.Downstream, Slots);
   Admission = std::make_unique<admission_gate>(
       Settings.Admission, std::make_unique<static_limiter>(Slots));
 }
--- a/modules/clementine_proxy/gate/instance_gate.h
+++ b/modules/clementine_proxy/gate/instance_gate.h
@@ -2,6 +2,7 @@
 #define CLEMENTINE_PROXY_GATE_INSTANCE_GATE_H
 
 #include "clementine_admission/clementine_admission.h"
+#include "clementine_proxy/gate/downstream_limiter.h"
 #include "clementine_proxy/gate/instance_book.h"
 #include "clementine_proxy/peers/peer_messages.h"
 
@@ -48,6 +49,7 @@
 /// Times and limits of an instance_gate.
 struct instance_gate_settings {
   admission_gate_settings Admission;
+  downstream_limiter_settings Downstream;
   /// How long the end of a run can be asked for again.
   duration KeepEnded = std::chrono::seconds(3);
   /// The most ended runs that are kept, and the most bytes of their answers.
@@ -93,15 +95,19 @@
     std::uint64_t Link = OwnEntryLink;
     run_order Order;
     instant Deadline;
+    instant StartedAt;
     bool IsRunning = false;
+    bool IsLimited = false;
   };
   struct ended_run {
     instant EndedAt;
     run_report Report;
   };
 
+  bool isHeldBack(active_run &Run);
+  void learn(const active_run &Run, const instance_result &Result, instant Now);
   void obey(const gate_actions &Actions, instant Now);
-  void start(const attempt_id &Attempt);
+  void start(const attempt_id &Attempt, instant Now);
   void refuse(const attempt_id &Attempt, run_cause Cause, instant Now);
   void finish(const attempt_id &Attempt, instance_result Result, instant Now);
   void keep(const run_report &Report, instant Now);
@@ -111,6 +117,7 @@
   instance_book &Book;
   gate_port &Port;
   std::unique_ptr<admission_gate> Admission;
+  std::unique_ptr<downstream_limiter> Downstream;
   /// The instance that Admission belongs to.
   std::string Instance;
   std::uint32_t Slots = 0;
--- a/modules/clementine_proxy/model/routing_config.cpp
+++ b/modules/clementine_proxy/model/routing_config.cpp
@@ -33,6 +33,13 @@
   return Best;
 }
 
+std::uint32_t routing_config::lowestUrgency() const {
+  std::uint32_t Lowest = 0;
+  for (const route &Each : Routes)
+    Lowest = std::max(Lowest, Each.Priority);
+  return Lowest;
+}
+
 std::size_t
 weighted_rotation::next(const std::vector<weighted_service> &Services) {
   assert(!Services.empty() && "a route has at least one service");
--- a/modules/clementine_proxy/model/routing_config.h
+++ b/modules/clementine_proxy/model/routing_config.h
@@ -78,6 +78,9 @@
   /// @p Path, or null. A port after the host name does not count, and case in
   /// it does not either.
   const route *find(std::string_view Host, std::string_view Path) const;
+
+  /// @returns the priority of the least urgent route.
+  std::uint32_t lowestUrgency() const;
 };
 
 /// Deals the requests of a route to its services in proportion to their
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -124,7 +124,7 @@
 
 template <class Archive> void serialize(Archive &Target, run_order &Value) {
   Target(Value.Attempt, name(Value.Service), Value.Priority, Value.IsIdempotent,
-         Value.TimeLeft, Value.Request);
+         Value.IsLeastUrgent, Value.TimeLeft, Value.Request);
 }
 
 template <class Archive> void serialize(Archive &Target, run_report &Value) {
@@ -173,6 +173,8 @@
     return "none";
   case run_cause::Overloaded:
     return "overloaded";
+  case run_cause::HeldBack:
+    return "held-back";
   case run_cause::TooLate:
     return "too-late";
   case run_cause::NoInstance:
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -45,6 +45,8 @@
   /// 0 is the most important.
   std::uint32_t Priority = 0;
   bool IsIdempotent = false;
+  /// Whether no route is less urgent.
+  bool IsLeastUrgent = false;
   /// Until the entry gives its final answer, in microseconds.
   std::int64_t TimeLeft = 0;
   request Request;
@@ -67,6 +69,8 @@
   None,
   /// The gate's queue was full, or others went before it.
   Overloaded,
+  /// The least urgent work is held back, since too much of it fails.
+  HeldBack,
   /// The rest of its time would not have been enough.
   TooLate,
   /// No instance takes work at this gate.
