--- /dev/null
+++ b/tests/proxy/test_messages.cpp
@@ -0,0 +1,141 @@
+#include "clementine_proxy/clementine_proxy.h"
+
+#include <doctest/doctest.h>
+
+using namespace clementine::proxy;
+
+namespace {
+
+constexpr std::uint64_t MaxHeader = 1024;
+constexpr std::uint64_t MaxBody = 64;
+
+read_fault faultOf(std::string Bytes) {
+  request_reader Reader(MaxHeader, MaxBody);
+  return Reader.read(Bytes) == read_progress::Failed ? Reader.fault()
+                                                     : read_fault::None;
+}
+
+} // namespace
+
+TEST_CASE("pipelined requests are read one at a time, whatever the pieces") {
+  const std::string Bytes = "GET /a?x=1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "POST /b HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 3\r\n\r\nabc"
+                            "PUT /c HTTP/1.1\r\nHost: h\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n";
+  for (const std::size_t Piece : {1U, 7U, 1000U}) {
+    request_reader Reader(MaxHeader, MaxBody);
+    std::string Buffer;
+    std::vector<request> Found;
+    for (std::size_t At = 0; At < Bytes.size(); At += Piece) {
+      Buffer += Bytes.substr(At, Piece);
+      while (Reader.read(Buffer) == read_progress::Complete)
+        Found.push_back(Reader.take());
+    }
+    REQUIRE(Found.size() == 3);
+    CHECK(Found[0].path() == "/a");
+    CHECK(Found[1].Body == "abc");
+    CHECK(Found[2].Body == "xyz");
+    CHECK(Buffer.empty());
+  }
+}
+
+TEST_CASE("requests that two servers could read differently are refused") {
+  CHECK(faultOf("GET / HTTP/1.1\r\n\r\n") == read_fault::Malformed);
+  CHECK(faultOf("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n") ==
+        read_fault::Malformed);
+  CHECK(faultOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+        read_fault::Malformed);
+  CHECK(faultOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+                "Content-Length: 2\r\n\r\nab") == read_fault::Malformed);
+  CHECK(faultOf("POST / HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n") ==
+        read_fault::Malformed);
+  CHECK(faultOf("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n") ==
+        read_fault::Malformed);
+  CHECK(faultOf("no request at all\r\n\r\n") == read_fault::Malformed);
+}
+
+TEST_CASE("the limits of a request have faults of their own") {
+  CHECK(faultOf("GET / HTTP/1.1\r\nHost: a\r\nX: " +
+                std::string(2 * MaxHeader, 'x') + "\r\n\r\n") ==
+        read_fault::HeaderTooLarge);
+  CHECK(faultOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65\r\n\r\n") ==
+        read_fault::BodyTooLarge);
+}
+
+TEST_CASE("an answer is whole by its length, its chunks or a regular end") {
+  response_reader Reader(false, MaxBody);
+  std::string Bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                      "Content-Length: 2\r\n\r\nokHTTP/1.1 200";
+  REQUIRE(Reader.read(Bytes) == read_progress::Complete);
+  CHECK(Reader.take().Body == "ok");
+  CHECK(Bytes == "HTTP/1.1 200");
+
+  response_reader Unframed(false, MaxBody);
+  Bytes = "HTTP/1.1 200 OK\r\n\r\npart";
+  CHECK(Unframed.read(Bytes) == read_progress::Incomplete);
+  REQUIRE(Unframed.readEnd() == read_progress::Complete);
+  CHECK(Unframed.take().Body == "part");
+
+  response_reader Cut(false, MaxBody);
+  Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+  CHECK(Cut.read(Bytes) == read_progress::Incomplete);
+  CHECK(Cut.readEnd() == read_progress::Failed);
+  CHECK(Cut.fault() == read_fault::Truncated);
+}
+
+TEST_CASE("headers of one connection are not passed on") {
+  header_list Headers = {{"connection", "x-hop, close"}, {"X-Hop", "1"},
+                         {"Keep-Alive", "timeout=5"},    {"X-End", "2"},
+                         {"Content-Length", "7"},        {"TE", "trailers"}};
+  removeConnectionHeaders(Headers);
+  CHECK(Headers == header_list{{"X-End", "2"}});
+}
+
+TEST_CASE("every peer message survives its frame, and damage does not crash") {
+  run_order Order;
+  Order.Attempt = {1, 2};
+  Order.Service = "s";
+  Order.IsLeastUrgent = true;
+  Order.Request = {"POST", "/p", {{"A", "b"}}, std::string(1, '\0'), true};
+  run_report Report;
+  Report.Outcome = run_outcome::Completed;
+  Report.Response = {200, {{"C", "d"}}, "body", true};
+  config_transfer Transfer;
+  Transfer.Config.Version = 7;
+  Transfer.Config.Routes = {{"r",
+                             "h",
+                             "/p/",
+                             true,
+                             std::chrono::seconds(1),
+                             std::chrono::seconds(2),
+                             1,
+                             2,
+                             {{"s", 3}}}};
+  const std::vector<peer_message> Messages = {
+      peer_hello{}, Order,         Report,        run_query{{3, 4}},
+      run_cancel{}, peer_probe{5}, peer_status{}, config_request{},
+      Transfer};
+  std::string Stream;
+  for (const peer_message &Message : Messages)
+    Stream += encodeFrame(Message);
+  std::size_t Offset = 0;
+  for (const peer_message &Message : Messages) {
+    peer_message Decoded;
+    REQUIRE(decodeFrame(Stream, Offset, Decoded) == frame_progress::Complete);
+    CHECK(Decoded == Message);
+  }
+  CHECK(Offset == Stream.size());
+  for (std::size_t At = 0; At < Stream.size(); ++At) {
+    std::string Damaged = Stream;
+    Damaged[At] = static_cast<char>(~Damaged[At]);
+    std::size_t From = 0;
+    peer_message Decoded;
+    while (decodeFrame(Damaged, From, Decoded) == frame_progress::Complete) {
+    }
+    CHECK(From <= Damaged.size());
+  }
+}
