--- a/extras/stand_in_http/http_server.cpp
+++ b/extras/stand_in_http/http_server.cpp
@@ -81,6 +81,8 @@
   for (int Index = 0; Index < Raw.map_header->nb_values; ++Index)
     Request.Headers.emplace_back(Raw.map_header->keys[Index],
                                  Raw.map_header->values[Index]);
+  for (int Index = 0; Index < Raw.map_url->nb_values; ++Index)
+    Request.Query[Raw.map_url->keys[Index]] = Raw.map_url->values[Index];
   return Request;
 }
 
--- a/extras/stand_in_http/http_server.h
+++ b/extras/stand_in_http/http_server.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -17,7 +18,9 @@
 /// A request as a stand-in's handler sees it.
 struct http_request {
   std::string Method;
+  /// Without the query.
   std::string Path;
+  std::map<std::string, std::string> Query;
   std::string Body;
   std::vector<std::pair<std::string, std::string>> Headers;
 
--- /dev/null
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -0,0 +1,199 @@
+#include "stand_in_users_platform/app_instance.h"
+
+#include <curl/curl.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace clementine::stand_in {
+
+namespace {
+
+constexpr unsigned Misdirected = 421;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned ServerError = 500;
+constexpr long Ok = 200;
+constexpr std::chrono::milliseconds ReportInterval{200};
+constexpr std::chrono::milliseconds ReportTimeout{1000};
+constexpr std::chrono::milliseconds CallTimeout{2000};
+
+std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
+                       void *Body) {
+  static_cast<std::string *>(Body)->append(Data, Size * Count);
+  return Size * Count;
+}
+
+std::size_t addHeader(char *Data, std::size_t Size, std::size_t Count,
+                      void *Headers) {
+  const std::string Line(Data, Size * Count);
+  const auto Colon = Line.find(": ");
+  if (Colon != std::string::npos)
+    (*static_cast<std::map<std::string, std::string> *>(
+        Headers))[Line.substr(0, Colon)] =
+        Line.substr(Colon + 2, Line.find_last_not_of("\r\n") - Colon - 1);
+  return Size * Count;
+}
+
+http_answer refusal(unsigned Status) {
+  http_answer Answer;
+  Answer.Status = Status;
+  Answer.Headers = {{"X-Not-Executed", "1"}};
+  return Answer;
+}
+
+} // namespace
+
+plain_answer sendRequest(const std::string &Method, const endpoint &Node,
+                         const std::string &Path,
+                         const std::vector<std::string> &Headers,
+                         const std::string &Body, duration Timeout) {
+  plain_answer Answer;
+  CURL *Easy = curl_easy_init();
+  curl_slist *Lines = curl_slist_append(nullptr, "Expect:");
+  for (const std::string &Header : Headers)
+    Lines = curl_slist_append(Lines, Header.c_str());
+  const std::string Url = "http://" + Node.text() + Path;
+  curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
+  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Lines);
+  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Method.c_str());
+  if (Method == "POST") {
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(Body.size()));
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Body.data());
+  }
+  curl_easy_setopt(
+      Easy, CURLOPT_TIMEOUT_MS,
+      static_cast<long>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(Timeout)
+              .count()));
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &appendBody);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Answer.Body);
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &addHeader);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Answer.Headers);
+  if (curl_easy_perform(Easy) == CURLE_OK)
+    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Answer.Status);
+  curl_slist_free_all(Lines);
+  curl_easy_cleanup(Easy);
+  return Answer;
+}
+
+void run_counts::add(const std::string &RequestId,
+                     const std::string &Instance) {
+  const std::lock_guard Lock(Mutex);
+  ++Requests[RequestId];
+  ++Instances[Instance];
+}
+
+int run_counts::of(const std::string &RequestId) const {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Requests.find(RequestId);
+  return Found == Requests.end() ? 0 : Found->second;
+}
+
+int run_counts::by(const std::string &Instance) const {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Instances.find(Instance);
+  return Found == Instances.end() ? 0 : Found->second;
+}
+
+std::set<std::string> run_counts::repeated() const {
+  const std::lock_guard Lock(Mutex);
+  std::set<std::string> Found;
+  for (const auto &[Id, Count] : Requests)
+    if (Count > 1)
+      Found.insert(Id);
+  return Found;
+}
+
+app_instance::app_instance(app_instance_settings Given, run_counts &Runs)
+    : Settings(std::move(Given)), Runs(Runs),
+      Server(std::make_unique<http_server>(
+          Settings.Listen, http_server::limits{},
+          [this](const http_request &Request) { return handle(Request); })),
+      Reporter([this] { reportUntilStopped(); }) {}
+
+app_instance::~app_instance() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  Reporter.join();
+  Server.reset();
+}
+
+http_answer app_instance::handle(const http_request &Request) {
+  const std::string Id = Request.header("X-Request-Id");
+  http_answer Answer;
+  const std::string Expected = Request.header("X-Expected-Instance");
+  if (!Expected.empty() && Expected != Settings.Id) {
+    Answer = refusal(Misdirected);
+  } else if (++Busy > Settings.Slots) {
+    --Busy;
+    Answer = refusal(Unavailable);
+  } else {
+    Runs.add(Id, Settings.Id);
+    std::this_thread::sleep_for(Settings.Work);
+    Answer.Status = callOthers(Request) ? Ok : ServerError;
+    Answer.Body = Settings.Service + " ran " + Id + " from " +
+                  Request.header("X-Caller-Service") + ": " + Request.Body;
+    Answer.Headers = {{"X-Response-Signature", "proof-of-" + Settings.Id}};
+    --Busy;
+    if (LostAnswers > 0) {
+      --LostAnswers;
+      Answer.IsCut = true;
+    }
+  }
+  Answer.Headers.emplace_back("X-Request-Id", Id);
+  return Answer;
+}
+
+bool app_instance::callOthers(const http_request &Request) {
+  return std::all_of(
+      Settings.Calls.begin(), Settings.Calls.end(),
+      [&](const instance_sub_call &Call) {
+        const std::string Id = Settings.Id + "-" + std::to_string(++LastCall);
+        return sendRequest(
+                   "GET", Settings.Outbound, Call.Prefix + "x",
+                   {"Host: " + Call.Host, "X-Request-Id: " + Id,
+                    "X-Deadline-Ms: " + Request.header("X-Deadline-Ms")},
+                   "", CallTimeout)
+                   .Status == Ok;
+      });
+}
+
+bool app_instance::report() {
+  const nlohmann::json Body = {{"service", Settings.Service},
+                               {"address", Settings.Listen.text()},
+                               {"zone", Settings.Zone},
+                               {"version", "v1"},
+                               {"slots", Settings.Slots},
+                               {"state", IsDraining ? "draining" : "ready"},
+                               {"cold_remaining_ms", 0},
+                               {"born", Settings.StartedAt},
+                               {"sequence", ++Sequence}};
+  return sendRequest("POST", Settings.Control,
+                     "/clementinecove/Instances.Heartbeat/" + Settings.Id,
+                     {"Content-Type: application/json"}, Body.dump(),
+                     ReportTimeout)
+             .Status == Ok;
+}
+
+bool app_instance::drain() {
+  IsDraining = true;
+  return report();
+}
+
+void app_instance::reportUntilStopped() {
+  std::unique_lock Lock(Mutex);
+  while (!Stopping) {
+    Lock.unlock();
+    report();
+    Lock.lock();
+    Changed.wait_for(Lock, ReportInterval, [this] { return Stopping; });
+  }
+}
+
+} // namespace clementine::stand_in
--- /dev/null
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -0,0 +1,110 @@
+#ifndef STAND_IN_USERS_PLATFORM_APP_INSTANCE_H
+#define STAND_IN_USERS_PLATFORM_APP_INSTANCE_H
+
+#include "clementine_core/clementine_core.h"
+#include "stand_in_http/http_server.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace clementine::stand_in {
+
+/// A call that an instance makes while it runs a request.
+struct instance_sub_call {
+  std::string Host;
+  /// Path with its slash at the end.
+  std::string Prefix;
+};
+
+/// How an app_instance works.
+struct app_instance_settings {
+  std::string Id;
+  std::string Service;
+  std::string Zone;
+  endpoint Listen;
+  /// Where the node beside it takes requests and reports.
+  endpoint Outbound;
+  endpoint Control;
+  std::int64_t StartedAt = 1;
+  unsigned Slots = 8;
+  duration Work = std::chrono::milliseconds(5);
+  std::vector<instance_sub_call> Calls;
+};
+
+/// Counts what all instances of a test have run; shared by them.
+class run_counts {
+public:
+  void add(const std::string &RequestId, const std::string &Instance);
+  /// @returns how often the request was run.
+  int of(const std::string &RequestId) const;
+  /// @returns how many requests an instance has run.
+  int by(const std::string &Instance) const;
+  /// @returns the requests that were run more than once.
+  std::set<std::string> repeated() const;
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, int> Requests;
+  std::map<std::string, int> Instances;
+};
+
+/// An application's instance on the users' platform: reports to its node, runs
+/// requests in slots, makes calls through its node and drains.
+class app_instance {
+public:
+  app_instance(app_instance_settings Settings, run_counts &Runs);
+  ~app_instance();
+
+  app_instance(const app_instance &) = delete;
+  app_instance &operator=(const app_instance &) = delete;
+
+  /// Says that it drains.
+  /// @returns whether the node has confirmed.
+  bool drain();
+
+  /// Loses the answers of the next runs.
+  void loseAnswers(int Count) { LostAnswers = Count; }
+
+private:
+  http_answer handle(const http_request &Request);
+  bool callOthers(const http_request &Request);
+  bool report();
+  void reportUntilStopped();
+
+  const app_instance_settings Settings;
+  run_counts &Runs;
+  std::atomic<bool> IsDraining{false};
+  std::atomic<int> LostAnswers{0};
+  std::atomic<unsigned> Busy{0};
+  std::atomic<std::uint64_t> Sequence{0};
+  std::atomic<std::uint64_t> LastCall{0};
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Stopping = false;
+  std::unique_ptr<http_server> Server;
+  std::thread Reporter;
+};
+
+/// A whole answer of a node.
+struct plain_answer {
+  long Status = 0;
+  std::string Body;
+  std::map<std::string, std::string> Headers;
+};
+
+/// Sends one request on a connection of its own; status 0 when no whole answer
+/// came.
+plain_answer sendRequest(const std::string &Method, const endpoint &Node,
+                         const std::string &Path,
+                         const std::vector<std::string> &Headers,
+                         const std::string &Body, duration Timeout);
+
+} // namespace clementine::stand_in
+
+#endif
--- /dev/null
+++ b/extras/stand_in_users_platform/kv_store.h
@@ -0,0 +1,72 @@
+#ifndef STAND_IN_USERS_PLATFORM_KV_STORE_H
+#define STAND_IN_USERS_PLATFORM_KV_STORE_H
+
+#include "clementine_platform/memory/memory_platform_store.h"
+#include "stand_in_http/http_server.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace clementine::stand_in {
+
+/// The metadata store of the users' platform, in memory and with switches for
+/// its faults. Written from the users' protocol page.
+class kv_store {
+public:
+  /// How the store treats calls.
+  enum class outage : std::uint8_t {
+    None,
+    /// 503, nothing is done.
+    Unavailable,
+    /// 429, nothing is done.
+    Busy,
+    /// No answer, nothing is done.
+    Silent,
+  };
+
+  /// Starts to listen.
+  /// @throws http_server_error if the address can't be used.
+  explicit kv_store(const endpoint &Listen);
+  ~kv_store();
+
+  kv_store(const kv_store &) = delete;
+  kv_store &operator=(const kv_store &) = delete;
+
+  void setOutage(outage Kind) { Outage = Kind; }
+  /// Carries out the next writes and loses their answers.
+  void loseAnswers(int Count) { LostAnswers = Count; }
+  /// Answers watches that began before now with 410.
+  void forgetHistory() { ForgottenUpTo = Store.revision(); }
+  void expireLeases() { Store.expireAllLeases(); }
+
+  /// Writes as the operator does.
+  void put(const std::string &Key, const std::string &Value);
+  /// @returns the value of @p Key, empty if there is none.
+  std::string valueOf(const std::string &Key);
+  /// @returns how many calls were made.
+  int calls() const { return Calls; }
+
+private:
+  http_answer handle(const http_request &Request);
+  http_answer serve(const http_request &Request);
+  http_answer getKey(const http_request &Request);
+  http_answer getRange(const http_request &Request);
+  http_answer watch(const http_request &Request);
+  http_answer transaction(const http_request &Request);
+  http_answer grantLease(const http_request &Request);
+  http_answer keepLease(const std::string &Id);
+
+  const monotonic_clock Time;
+  std::atomic<bool> Stopping{false};
+  std::atomic<outage> Outage{outage::None};
+  std::atomic<int> LostAnswers{0};
+  std::atomic<platform_revision> ForgottenUpTo{0};
+  std::atomic<int> Calls{0};
+  memory_platform_store Store;
+  std::unique_ptr<http_server> Server;
+};
+
+} // namespace clementine::stand_in
+
+#endif
--- a/modules/clementine_platform/etcd/http_channel.cpp
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -38,8 +38,9 @@
 /// One libcurl handle with its connection.
 class http_channel::handle {
 public:
-  explicit handle(const limits &Limits)
-      : Limits(Limits), Easy(curl_easy_init()), Multi(curl_multi_init()) {
+  handle(const limits &Limits, const std::atomic<bool> &Interrupted)
+      : Limits(Limits), Interrupted(Interrupted), Easy(curl_easy_init()),
+        Multi(curl_multi_init()) {
     assert(Easy != nullptr && Multi != nullptr && "libcurl is out of memory");
     Headers = curl_slist_append(nullptr, "Content-Type: application/json");
     // A large body then leaves at once, without waiting for a "100 Continue".
@@ -67,9 +68,7 @@
     prepare(Url, "");
     curl_easy_setopt(Easy, CURLOPT_HTTPGET, 1L);
     if (Stopping != nullptr) {
-      curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, &handle::stopsHere);
-      curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, Stopping);
-      curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
+      this->Stopping = Stopping;
       // On a kept connection the library would make a broken call again by
       // itself, and the caller of a long poll would not learn of the break.
       curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -126,7 +125,9 @@
   static int stopsHere(void *User, curl_off_t /*DownloadTotal*/,
                        curl_off_t /*Downloaded*/, curl_off_t /*UploadTotal*/,
                        curl_off_t /*Uploaded*/) {
-    return *static_cast<const std::atomic<bool> *>(User) ? 1 : 0;
+    const auto &Self = *static_cast<const handle *>(User);
+    return Self.Interrupted || (Self.Stopping != nullptr && *Self.Stopping) ? 1
+                                                                            : 0;
   }
 
   void prepare(const std::string &Url, const std::string &Body) {
@@ -135,6 +136,7 @@
     TooLarge = false;
     EndedHere = false;
     Listener = nullptr;
+    Stopping = nullptr;
     ErrorText[0] = '\0';
     curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
     curl_easy_setopt(Easy, CURLOPT_POST, 1L);
@@ -159,6 +161,9 @@
         duration_cast<milliseconds>(Limits.ConnectTimeout).count());
     curl_easy_setopt(Easy, CURLOPT_ERRORBUFFER, ErrorText.data());
     curl_easy_setopt(Easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, &handle::stopsHere);
+    curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, this);
+    curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
   }
 
   CURLcode performStream(const std::atomic<bool> &Stopping) {
@@ -278,6 +283,8 @@
   }
 
   const limits &Limits;
+  const std::atomic<bool> &Interrupted;
+  const std::atomic<bool> *Stopping = nullptr;
   CURL *const Easy;
   CURLM *const Multi;
   curl_slist *Headers = nullptr;
@@ -336,14 +343,14 @@
                      const line_listener &Listener,
                      const std::atomic<bool> &Stopping) {
   // The connection of a stream ends with it, so the handle isn't kept.
-  handle Handle(Limits);
+  handle Handle(Limits, Interrupted);
   return Handle.stream(BaseUrl + Path, Body, Listener, Stopping);
 }
 
 std::unique_ptr<http_channel::handle> http_channel::borrow() {
   const std::lock_guard Lock(Mutex);
   if (Idle.empty())
-    return std::make_unique<handle>(Limits);
+    return std::make_unique<handle>(Limits, Interrupted);
   auto Handle = std::move(Idle.back());
   Idle.pop_back();
   return Handle;
--- a/modules/clementine_platform/etcd/http_channel.h
+++ b/modules/clementine_platform/etcd/http_channel.h
@@ -77,6 +77,9 @@
                                       const line_listener &Listener,
                                       const std::atomic<bool> &Stopping);
 
+  /// Makes calls under way, and later ones, fail within a second.
+  void interrupt() { Interrupted = true; }
+
 private:
   class handle;
 
@@ -85,6 +88,7 @@
 
   const std::string BaseUrl;
   const limits Limits;
+  std::atomic<bool> Interrupted{false};
   std::mutex Mutex;
   std::vector<std::unique_ptr<handle>> Idle;
 };
--- a/modules/clementine_platform/store/platform_store.h
+++ b/modules/clementine_platform/store/platform_store.h
@@ -65,6 +65,10 @@
   virtual result<void, platform_error>
   watch(const std::string &Prefix, platform_revision FromRevision,
         const watch_listener &Listener, const std::atomic<bool> &Stopping) = 0;
+
+  /// Makes the calls under way fail soon, and later ones at once, so that a
+  /// program can end while the platform does not answer. By default nothing.
+  virtual void interrupt() {}
 };
 
 } // namespace clementine
--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -140,7 +140,7 @@
 
 void forwarder::reported(const std::string &Node, run_report Report,
                          instant Now) {
-  Directory.status(Node, Report.Gate);
+  Directory.status(Node, Report.Gate, Now);
   const auto Found = ByAttempt.find(Report.Attempt);
   if (Found == ByAttempt.end())
     return;
--- a/modules/clementine_proxy/entry/instance_directory.cpp
+++ b/modules/clementine_proxy/entry/instance_directory.cpp
@@ -69,7 +69,8 @@
     record(Record);
 }
 
-void instance_directory::up(const std::string &Node, const peer_hello &Hello) {
+void instance_directory::up(const std::string &Node, const peer_hello &Hello,
+                            instant Now) {
   const auto Found = Gates.find(Node);
   if (Found == Gates.end())
     return;
@@ -77,7 +78,7 @@
   if (Hello.Self.Incarnation >= Gate.Record.Incarnation)
     Gate.Record = Hello.Self;
   Gate.DownUntil = instant();
-  status(Node, Hello.Gate);
+  status(Node, Hello.Gate, Now);
 }
 
 void instance_directory::down(const std::string &Node, instant Now) {
@@ -89,11 +90,12 @@
 }
 
 void instance_directory::status(const std::string &Node,
-                                const gate_status &Status) {
+                                const gate_status &Status, instant Now) {
   const auto Found = Gates.find(Node);
   if (Found == Gates.end())
     return;
   Found->second.Status = Status;
+  Found->second.HeardAt = Now;
   Found->second.InFlightAtStatus = Found->second.InFlight;
 }
 
@@ -126,7 +128,9 @@
   Cost += FailureCost * Gate.FailureShare;
   if (Now < Gate.RefusedUntil || (Gate.Status && !Gate.Status->IsReachable))
     Cost += RefusedCost;
-  if (Now < Gate.DownUntil)
+  const bool IsSilent = Gate.Status && Gate.Record.Node != Settings.OwnNode &&
+                        Now - Gate.HeardAt > Settings.SilencePause;
+  if (Now < Gate.DownUntil || IsSilent)
     Cost += DownCost;
   return Cost + Jitter * Random.unit();
 }
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -16,9 +16,11 @@
   return Log;
 }
 
+/// An instance's call does not say which request it serves, and may serve the
+/// least urgent one. So only the most urgent routes go before others; the rest
+/// wait in the order of their arrival.
 importance importanceOf(std::uint32_t Priority) {
-  constexpr auto Lowest = static_cast<std::uint32_t>(importance::Low);
-  return static_cast<importance>(std::min(Priority, Lowest));
+  return Priority == 0 ? importance::Critical : importance::Normal;
 }
 
 run_cause causeOf(refusal_reason Reason) {
@@ -76,7 +78,6 @@
   admission_ticket Ticket;
   Ticket.RequestId = Attempt;
   Ticket.Importance = importanceOf(Run.Order.Priority);
-  Ticket.RequestHash = Attempt.Low;
   Ticket.Deadline = Deadline;
   const offer_decision Decision = Admission->offer(Ticket, Now);
   obey(Decision.Others, Now);
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -28,7 +28,7 @@
 /// probes and a margin.
 constexpr std::chrono::milliseconds TurnAwayTime{2600};
 /// How much of the grace is kept for the stop itself.
-constexpr std::chrono::milliseconds StopMargin{700};
+constexpr std::chrono::milliseconds StopMargin{1200};
 constexpr std::chrono::milliseconds StopPoll{20};
 constexpr std::size_t ControlConnections = 64;
 /// A node repeats this share of what the whole fleet may.
@@ -136,11 +136,10 @@
     bool IsFinished = false;
     while (!IsFinished && now() < End) {
       std::this_thread::sleep_for(StopPoll);
-      if (now() - Begun < TurnAwayTime)
-        continue;
       runOnLoop([&] { IsFinished = isIdle(); });
     }
     runOnLoop([this] { close(); });
+    Adapter.store().interrupt();
     Root.stop();
     Log.info("node stopped", {{"finished", IsFinished ? 1 : 0}});
     return IsFinished;
@@ -330,7 +329,7 @@
       Peers.announceStatus();
       publish();
     }
-    Directory.status(Settings.Name, Gate.status(now()));
+    Directory.status(Settings.Name, Gate.status(now()), now());
     schedule();
   }
 
@@ -372,7 +371,7 @@
   }
 
   void peerUp(const std::string &Node, const peer_hello &Hello) override {
-    Directory.up(Node, Hello);
+    Directory.up(Node, Hello, now());
     Forwarder.linkUp(Node, Hello.Self.Incarnation, now());
     askForConfig(Node, Hello.ConfigVersion);
     schedule();
@@ -393,7 +392,7 @@
       Forwarder.reported(Node, std::move(*Report), now());
       schedule();
     } else if (const auto *Status = std::get_if<peer_status>(&Message)) {
-      Directory.status(Node, Status->Gate);
+      Directory.status(Node, Status->Gate, now());
       askForConfig(Node, Status->ConfigVersion);
     } else if (auto *Transfer = std::get_if<config_transfer>(&Message)) {
       useConfig(
@@ -536,7 +535,8 @@
     // Timers stand still while the VM is suspended.
     Gate.passTime(Now);
     Forwarder.passTime(Now);
-    IsTurnedAway = IsLeaving && Now - LeavingSince > TurnAwayTime;
+    if (IsLeaving && !IsTurnedAway && Now - LeavingSince > TurnAwayTime)
+      turnAway();
     Housekeeping.expires_after(HousekeepingInterval);
     Housekeeping.async_wait([this](const auto &Error) {
       if (!Error)
@@ -552,8 +552,17 @@
     Peers.announceStatus();
   }
 
+  /// Takes no new connection, and ends each kept one after its answer: what is
+  /// taken later could not be finished within the grace.
+  void turnAway() {
+    IsTurnedAway = true;
+    Outbound.stop();
+    Log.info("callers are turned away", {{"active", Forwarder.active()}});
+  }
+
   bool isIdle() const {
-    return Forwarder.active() == 0 && Gate.active() == 0 && !Outbound.isBusy();
+    return IsTurnedAway && Forwarder.active() == 0 && Gate.active() == 0 &&
+           !Outbound.isBusy();
   }
 
   void close() {
--- a/tests/proxy/test_gate.cpp
+++ b/tests/proxy/test_gate.cpp
@@ -93,6 +93,17 @@
   CHECK(Test.Port.Called.back().Attempt == Urgent);
 }
 
+TEST_CASE("a caller's own request does not starve behind calls of instances") {
+  fixture Test;
+  const auto First = Test.order();
+  Test.order();
+  const auto Own = Test.order(2);
+  Test.order(1);
+  Test.complete(First);
+  REQUIRE(Test.Port.Called.size() == 3);
+  CHECK(Test.Port.Called.back().Attempt == Own);
+}
+
 TEST_CASE("once an instance drains nothing new reaches it") {
   fixture Test;
   const auto First = Test.order();
--- /dev/null
+++ b/tests/proxy/test_session.cpp
@@ -0,0 +1,152 @@
+#include "clementine_proxy/clementine_proxy.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <vector>
+
+using namespace clementine;
+using namespace clementine::proxy;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Keeps requests until the test answers them.
+class waiting_handler final : public http_handler {
+public:
+  void handle(request Request, responder Respond,
+              departure &WhenGone) override {
+    Requests.push_back(std::move(Request));
+    Responders.push_back(std::move(Respond));
+    WhenGone = [this] { ++Gone; };
+  }
+  caller_limits limits() const override { return {}; }
+  bool isClosing() const override { return Closes; }
+
+  void answer(std::size_t Index) {
+    response Answer;
+    Answer.Status = 200;
+    Answer.Body = Requests[Index].Target;
+    Responders[Index](Answer);
+  }
+
+  std::vector<request> Requests;
+  std::vector<responder> Responders;
+  int Gone = 0;
+  bool Closes = false;
+};
+
+/// A session and a client at the other end of its connection.
+struct fixture {
+  fixture() {
+    tcp::acceptor Acceptor(
+        Loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Client.connect(Acceptor.local_endpoint());
+    Session = std::make_shared<http_session>(Acceptor.accept(), Handler);
+    Session->start();
+  }
+
+  void send(const std::string &Bytes) {
+    asio::write(Client, asio::buffer(Bytes));
+  }
+
+  static std::string requestFor(const std::string &Target) {
+    return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+
+  template <class Condition> bool runUntil(const Condition &IsMet) {
+    for (int Step = 0; Step < 100000 && !IsMet(); ++Step) {
+      Loop.restart();
+      Loop.run_one_for(std::chrono::milliseconds(1));
+    }
+    return IsMet();
+  }
+
+  /// @returns everything that the client has got up to now and what follows
+  /// until @p Text is among it.
+  std::string receive(const std::string &Text) {
+    runUntil([&] {
+      if (Client.available() > 0) {
+        std::string Bytes(Client.available(), '\0');
+        Client.read_some(asio::buffer(Bytes));
+        Received += Bytes;
+      }
+      return Received.find(Text) != std::string::npos;
+    });
+    return Received;
+  }
+
+  asio::io_context Loop;
+  waiting_handler Handler;
+  tcp::socket Client{Loop};
+  std::shared_ptr<http_session> Session;
+  std::string Received;
+};
+
+} // namespace
+
+TEST_CASE("a kept connection carries one request after another") {
+  fixture Test;
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    const std::string Target = "/" + std::to_string(Index);
+    Test.send(fixture::requestFor(Target));
+    REQUIRE(Test.runUntil(
+        [&] { return Test.Handler.Requests.size() == Index + 1; }));
+    Test.Handler.answer(Index);
+    Test.receive("\r\n\r\n" + Target);
+  }
+  CHECK(Test.Received.find("400") == std::string::npos);
+}
+
+TEST_CASE("answers leave in the order of the requests") {
+  fixture Test;
+  Test.send(fixture::requestFor("/first") + fixture::requestFor("/second"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 2; }));
+  Test.Handler.answer(1);
+  Test.Loop.restart();
+  Test.Loop.poll();
+  CHECK(Test.Client.available() == 0);
+  Test.Handler.answer(0);
+  const std::string Bytes = Test.receive("/second");
+  CHECK(Bytes.find("/first") < Bytes.find("/second"));
+}
+
+TEST_CASE("a client that leaves is noticed while its requests are at work") {
+  fixture Test;
+  Test.send(fixture::requestFor("/a") + fixture::requestFor("/b"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 2; }));
+  Test.Client.close();
+  CHECK(Test.runUntil([&] { return Test.Handler.Gone == 2; }));
+  Test.Handler.answer(0);
+}
+
+TEST_CASE("what stands behind a closing answer is left unread") {
+  fixture Test;
+  Test.send("GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" +
+            fixture::requestFor("/behind"));
+  REQUIRE(Test.runUntil([&] { return !Test.Handler.Requests.empty(); }));
+  Test.Handler.answer(0);
+  CHECK(Test.receive("/last").find("Connection: close") != std::string::npos);
+  CHECK(Test.Handler.Requests.size() == 1);
+}
+
+TEST_CASE("a session that is told to close ends after its last answer") {
+  fixture Test;
+  Test.send(fixture::requestFor("/a"));
+  REQUIRE(Test.runUntil([&] { return !Test.Handler.Requests.empty(); }));
+  Test.Session->closeIfIdle();
+  Test.Handler.Closes = true;
+  Test.Handler.answer(0);
+  CHECK(Test.receive("/a").find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("what is no request gets 400 and a closed connection") {
+  fixture Test;
+  Test.send("nonsense\r\n\r\n");
+  CHECK(Test.receive("400 Bad Request").find("Connection: close") !=
+        std::string::npos);
+}
--- /dev/null
+++ b/tests/users_process/test_mesh.cpp
@@ -0,0 +1,102 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "mesh.h"
+
+#include <csignal>
+
+using namespace clementine;
+using namespace clementine::test;
+
+TEST_CASE("the whole path as real processes") {
+  mesh Mesh;
+  REQUIRE(Mesh.awaitReady());
+
+  SUBCASE("a request runs through the chain once and comes back whole") {
+    const auto Answer = Mesh.call("archive-north", "/book/1", "POST");
+    CHECK(Answer.Status == 200);
+    CHECK(Answer.Body == "front ran " + Mesh.lastId() + " from archive: body");
+    CHECK(Answer.Headers.at("X-Response-Signature").starts_with("proof-of-"));
+    CHECK(Mesh.Runs.of(Mesh.lastId()) == 1);
+    CHECK(Mesh.call("desk-east", "/none/").Status == 404);
+  }
+
+  SUBCASE("a lost answer of what may not be repeated is never a promise") {
+    for (const char *Zone : {"east", "west", "north"})
+      Mesh.instance(std::string("front-") + Zone).loseAnswers(1);
+    const auto Answer = Mesh.call("archive-east", "/book/1", "POST");
+    CHECK(Answer.Status == 502);
+    CHECK(Mesh.Runs.of(Mesh.lastId()) == 1);
+  }
+
+  SUBCASE("an instance that drains gets nothing after its confirmation") {
+    REQUIRE(Mesh.instance("archive-east").drain());
+    const int Before = Mesh.Runs.by("archive-east-1");
+    for (int Call = 0; Call < 20; ++Call)
+      CHECK(Mesh.call("front-east", "/archive/1").Status == 200);
+    CHECK(Mesh.Runs.by("archive-east-1") == Before);
+  }
+
+  SUBCASE("a killed node is left out, and takes work again once it is back") {
+    Mesh.node("archive-east").kill();
+    CHECK(await(
+        [&] { return Mesh.call("front-east", "/archive/1").Status == 200; }));
+    Mesh.startNode("archive-east");
+    const int Before = Mesh.Runs.by("archive-east-1");
+    CHECK(await([&] {
+      return Mesh.call("front-east", "/archive/1").Status == 200 &&
+             Mesh.Runs.by("archive-east-1") > Before;
+    }));
+  }
+
+  SUBCASE("a configuration is in force on every node") {
+    Mesh.configure(2, "");
+    for (const std::string &Machine : Mesh.machines())
+      CHECK(
+          await([&] { return Mesh.call(Machine, "/extra/1").Status == 404; }));
+  }
+
+  SUBCASE("an outage of the store stops neither requests nor a drain") {
+    Mesh.Store->setOutage(stand_in::kv_store::outage::Silent);
+    REQUIRE(Mesh.instance("archive-east").drain());
+    const int Before = Mesh.Runs.by("archive-east-1");
+    for (int Call = 0; Call < 10; ++Call)
+      CHECK(Mesh.call("front-east", "/archive/1").Status == 200);
+    CHECK(Mesh.Runs.by("archive-east-1") == Before);
+    Mesh.Store->expireLeases();
+    Mesh.configure(2, "");
+    Mesh.Store->setOutage(stand_in::kv_store::outage::None);
+    CHECK(await(
+        [&] { return Mesh.call("post-west", "/extra/1").Status == 404; }));
+    CHECK(await([&] {
+      return !Mesh.Store->valueOf("clementinecove/nodes/post-west").empty();
+    }));
+  }
+
+  SUBCASE("a store that forgets its history hides no change") {
+    Mesh.Store->forgetHistory();
+    Mesh.configure(2, "");
+    for (const std::string &Machine : Mesh.machines())
+      CHECK(
+          await([&] { return Mesh.call(Machine, "/extra/1").Status == 404; }));
+  }
+
+  SUBCASE("SIGTERM ends a node in order, and its instance stays in use") {
+    CHECK(Mesh.node("archive-east").stop() == 0);
+    CHECK(Mesh.logOf("archive-east").find("node stopped finished=1") !=
+          std::string::npos);
+    CHECK(Mesh.Store->valueOf("clementinecove/nodes/archive-east").empty());
+    CHECK(Mesh.call("front-east", "/archive/1").Status == 200);
+  }
+
+  SUBCASE("SIGHUP changes nothing that is in flight") {
+    Mesh.node("archive-east").signal(SIGHUP);
+    CHECK(Mesh.call("archive-east", "/archive/1").Status == 200);
+    CHECK(await([&] {
+      return Mesh.logOf("archive-east").find("settings reloaded") !=
+             std::string::npos;
+    }));
+  }
+
+  CHECK(Mesh.Runs.repeated().empty());
+}
