--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -46,9 +46,9 @@
 forwarder::~forwarder() = default;
 
 bool forwarder::setConfig(std::shared_ptr<const routing_config> Newer) {
-  if (Config && Newer->Version <= Config->Version)
+  if (Routes && Newer->Version <= configVersion())
     return false;
-  Config = std::move(Newer);
+  Routes = std::make_shared<const route_table>(std::move(Newer));
   return true;
 }
 
@@ -70,12 +70,12 @@
   Call->RequestId = findHeader(Request.Headers, Names.RequestId).value_or("");
   Call->ArrivedAt = Now;
   Call->WakeAt = instant::max();
-  Call->Config = Config;
+  Call->Routes = Routes;
   Calls.emplace(Number, Call);
-  if (!Config)
+  if (!Routes)
     return finish(*Call, ownAnswer(*Call, Unavailable, true), "no-config", Now);
   const auto Host = findHeader(Request.Headers, "Host").value_or("");
-  Call->Route = Config->find(Host, Request.path());
+  Call->Route = Routes->find(Host, Request.path());
   if (Call->Route == nullptr)
     return finish(*Call, ownAnswer(*Call, NotFound, false), "no-route", Now);
   if (Call->RequestId.empty())
@@ -131,7 +131,7 @@
   Order.Service = Call.Service;
   Order.Priority = Call.Route->Priority;
   Order.IsIdempotent = Call.Route->IsIdempotent;
-  Order.IsLeastUrgent = Call.Route->Priority >= Call.Config->lowestUrgency();
+  Order.IsLeastUrgent = Call.Route->Priority >= Call.Routes->lowestUrgency();
   Order.TimeLeft = duration_cast<microseconds>(Call.TimeoutAt - Now).count();
   Order.Request = Call.Request;
   Call.Attempt->IsSent = true;
@@ -220,7 +220,7 @@
       {{"id", Call.RequestId},
        {"route", Call.Route == nullptr ? "" : Call.Route->Name},
        {"service", Call.Service},
-       {"config", Call.Config ? Call.Config->Version : 0},
+       {"config", Call.Routes ? Call.Routes->config().Version : 0},
        {"status", Response.Status},
        {"verdict", Verdict},
        {"cause", runCauseName(Call.LastCause)},
--- a/modules/clementine_proxy/entry/forwarder.h
+++ b/modules/clementine_proxy/entry/forwarder.h
@@ -68,8 +68,13 @@
   /// Puts a configuration in force unless it is older than the present one.
   /// @returns whether it was taken.
   bool setConfig(std::shared_ptr<const routing_config> Config);
-  std::uint64_t configVersion() const { return Config ? Config->Version : 0; }
-  const std::shared_ptr<const routing_config> &config() const { return Config; }
+  std::uint64_t configVersion() const {
+    return Routes ? Routes->config().Version : 0;
+  }
+  /// @returns the configuration in force, or null.
+  std::shared_ptr<const routing_config> config() const {
+    return Routes ? Routes->shared() : nullptr;
+  }
 
   /// Takes a request; forward_port::answer() follows once unless the caller
   /// leaves.
@@ -103,7 +108,7 @@
     std::string RequestId;
     request Request;
     /// Keeps the configuration that the request was routed by.
-    std::shared_ptr<const routing_config> Config;
+    std::shared_ptr<const route_table> Routes;
     const route *Route = nullptr;
     std::string Service;
     instant ArrivedAt;
@@ -138,7 +143,7 @@
   instance_directory &Directory;
   forward_port &Port;
   random_source &Random;
-  std::shared_ptr<const routing_config> Config;
+  std::shared_ptr<const route_table> Routes;
   std::unordered_map<call_number, call_pointer> Calls;
   std::unordered_map<attempt_id, call_pointer, request_id_hash> ByAttempt;
   std::multimap<instant, call_number> Wakes;
--- a/modules/clementine_proxy/model/routing_config.cpp
+++ b/modules/clementine_proxy/model/routing_config.cpp
@@ -12,32 +12,35 @@
                                         : Letter;
 }
 
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
-  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
-                    [](char A, char B) { return lowered(A) == lowered(B); });
-}
-
 } // namespace
 
-const route *routing_config::find(std::string_view Host,
-                                  std::string_view Path) const {
-  Host = Host.substr(0, Host.find(':'));
-  const route *Best = nullptr;
-  for (const route &Candidate : Routes) {
-    if (!Path.starts_with(Candidate.Prefix) ||
-        !equalsIgnoringCase(Host, Candidate.Host))
-      continue;
-    if (Best == nullptr || Candidate.Prefix.size() > Best->Prefix.size())
-      Best = &Candidate;
+route_table::route_table(std::shared_ptr<const routing_config> Given)
+    : Config(std::move(Given)) {
+  for (const route &Each : Config->Routes) {
+    ByHostAndPrefix.emplace(keyOf(Each.Host, Each.Prefix), &Each);
+    LowestUrgency = std::max(LowestUrgency, Each.Priority);
   }
-  return Best;
 }
 
-std::uint32_t routing_config::lowestUrgency() const {
-  std::uint32_t Lowest = 0;
-  for (const route &Each : Routes)
-    Lowest = std::max(Lowest, Each.Priority);
-  return Lowest;
+std::string route_table::keyOf(std::string_view Host, std::string_view Prefix) {
+  std::string Key;
+  Key.reserve(Host.size() + Prefix.size());
+  for (const char Letter : Host.substr(0, Host.find(':')))
+    Key += lowered(Letter);
+  return Key.append(Prefix);
+}
+
+const route *route_table::find(std::string_view Host,
+                               std::string_view Path) const {
+  // Every prefix ends with a slash, so only the path's own slashes can end one.
+  for (std::size_t End = Path.rfind('/'); End != std::string_view::npos;
+       End = End == 0 ? std::string_view::npos : Path.rfind('/', End - 1)) {
+    const auto Found =
+        ByHostAndPrefix.find(keyOf(Host, Path.substr(0, End + 1)));
+    if (Found != ByHostAndPrefix.end())
+      return Found->second;
+  }
+  return nullptr;
 }
 
 std::size_t
--- a/modules/clementine_proxy/model/routing_config.h
+++ b/modules/clementine_proxy/model/routing_config.h
@@ -4,8 +4,10 @@
 #include "clementine_core/clementine_core.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace clementine::proxy {
@@ -73,6 +75,16 @@
   caller_limits Limits;
 
   bool operator==(const routing_config &) const = default;
+};
+
+/// Finds routes in one configuration, which it keeps alive. A lookup costs a
+/// hash for each segment of the path, however many routes there are.
+class route_table {
+public:
+  explicit route_table(std::shared_ptr<const routing_config> Config);
+
+  const routing_config &config() const { return *Config; }
+  const std::shared_ptr<const routing_config> &shared() const { return Config; }
 
   /// @returns the route of @p Host with the longest prefix that begins
   /// @p Path, or null. A port after the host name does not count, and case in
@@ -80,7 +92,14 @@
   const route *find(std::string_view Host, std::string_view Path) const;
 
   /// @returns the priority of the least urgent route.
-  std::uint32_t lowestUrgency() const;
+  std::uint32_t lowestUrgency() const { return LowestUrgency; }
+
+private:
+  static std::string keyOf(std::string_view Host, std::string_view Prefix);
+
+  const std::shared_ptr<const routing_config> Config;
+  std::unordered_map<std::string, const route *> ByHostAndPrefix;
+  std::uint32_t LowestUrgency = 0;
 };
 
 /// Deals the requests of a route to its services in proportion to their
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -32,7 +32,7 @@
 constexpr std::chrono::milliseconds StopPoll{20};
 constexpr std::size_t ControlConnections = 64;
 /// A node repeats this share of what the whole fleet may.
-constexpr double RepeatShare = 0.4;
+constexpr double RepeatShare = 0.7;
 
 std::uint64_t randomSeed() {
   std::random_device Device;
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -33,11 +33,15 @@
   routing_config Config;
   Config.Routes = {routeOf("short", "a.example", "/x/"),
                    routeOf("long", "a.example", "/x/y/"),
-                   routeOf("other", "b.example", "/x/y/z/")};
-  CHECK(Config.find("a.example", "/x/y/z/1")->Name == "long");
-  CHECK(Config.find("A.Example:80", "/x/z")->Name == "short");
-  CHECK(Config.find("a.example", "/x") == nullptr);
-  CHECK(Config.find("c.example", "/x/") == nullptr);
+                   routeOf("other", "b.example", "/x/y/z/"),
+                   routeOf("root", "d.example", "/")};
+  const route_table Table(std::make_shared<const routing_config>(Config));
+  CHECK(Table.find("a.example", "/x/y/z/1")->Name == "long");
+  CHECK(Table.find("A.Example:80", "/x/z")->Name == "short");
+  CHECK(Table.find("a.example", "/x") == nullptr);
+  CHECK(Table.find("c.example", "/x/") == nullptr);
+  CHECK(Table.find("d.example", "/any")->Name == "root");
+  CHECK(Table.find("d.example", "") == nullptr);
 }
 
 TEST_CASE("weights are exact over a turn and spread within it") {
