--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -60,8 +60,8 @@
           std::errc() ||
       Value < 0)
     return std::nullopt;
-  constexpr std::int64_t LongestPatience = 3600 * 1000;
-  return milliseconds(std::min(Value, LongestPatience));
+  constexpr milliseconds LongestPatience = std::chrono::hours(1);
+  return std::min(milliseconds(Value), LongestPatience);
 }
 
 void forwarder::begin(call_number Number, request Request, instant Now) {
@@ -128,6 +128,7 @@
 void forwarder::sendAttempt(call &Call, instant Now) {
   run_order Order;
   Order.Attempt = Call.Attempt->Id;
+  Order.RequestId = Call.RequestId;
   Order.Service = Call.Service;
   Order.Priority = Call.Route->Priority;
   Order.IsIdempotent = Call.Route->IsIdempotent;
@@ -140,7 +141,7 @@
 
 void forwarder::reported(const std::string &Node, run_report Report,
                          instant Now) {
-  Directory.status(Node, Report.Gate, Now);
+  Directory.status(Node, Report.Gate);
   const auto Found = ByAttempt.find(Report.Attempt);
   if (Found == ByAttempt.end())
     return;
@@ -162,6 +163,14 @@
   Call->LastCause = Report.Cause;
   if (Report.Outcome == run_outcome::Completed)
     return finish(*Call, std::move(Report.Response), "completed", Now);
+  log().info("attempt not completed",
+             {{"id", Call->RequestId},
+              {"gate", Ended.Node},
+              {"outcome", runOutcomeName(Report.Outcome)},
+              {"cause", runCauseName(Report.Cause)},
+              {"running", Report.Gate.Running},
+              {"queued", Report.Gate.Queued},
+              {"arrivals", Call->Arrivals}});
   if (Report.Outcome == run_outcome::Unknown)
     Call->MayHaveRun = true;
   if (Ended.IsCancelled || !mayRepeat(*Call, Report, Now))
--- a/modules/clementine_proxy/entry/instance_directory.cpp
+++ b/modules/clementine_proxy/entry/instance_directory.cpp
@@ -69,8 +69,7 @@
     record(Record);
 }
 
-void instance_directory::up(const std::string &Node, const peer_hello &Hello,
-                            instant Now) {
+void instance_directory::up(const std::string &Node, const peer_hello &Hello) {
   const auto Found = Gates.find(Node);
   if (Found == Gates.end())
     return;
@@ -78,7 +77,7 @@
   if (Hello.Self.Incarnation >= Gate.Record.Incarnation)
     Gate.Record = Hello.Self;
   Gate.DownUntil = instant();
-  status(Node, Hello.Gate, Now);
+  status(Node, Hello.Gate);
 }
 
 void instance_directory::down(const std::string &Node, instant Now) {
@@ -89,13 +88,19 @@
   Found->second.DownUntil = Now + Settings.DownPause;
 }
 
+void instance_directory::silent(const std::string &Node, instant Now) {
+  const auto Found = Gates.find(Node);
+  if (Found != Gates.end())
+    Found->second.DownUntil =
+        std::max(Found->second.DownUntil, Now + Settings.SilencePause);
+}
+
 void instance_directory::status(const std::string &Node,
-                                const gate_status &Status, instant Now) {
+                                const gate_status &Status) {
   const auto Found = Gates.find(Node);
   if (Found == Gates.end())
     return;
   Found->second.Status = Status;
-  Found->second.HeardAt = Now;
   Found->second.InFlightAtStatus = Found->second.InFlight;
 }
 
@@ -128,9 +133,7 @@
   Cost += FailureCost * Gate.FailureShare;
   if (Now < Gate.RefusedUntil || (Gate.Status && !Gate.Status->IsReachable))
     Cost += RefusedCost;
-  const bool IsSilent = Gate.Status && Gate.Record.Node != Settings.OwnNode &&
-                        Now - Gate.HeardAt > Settings.SilencePause;
-  if (Now < Gate.DownUntil || IsSilent)
+  if (Now < Gate.DownUntil)
     Cost += DownCost;
   return Cost + Jitter * Random.unit();
 }
--- a/modules/clementine_proxy/entry/instance_directory.h
+++ b/modules/clementine_proxy/entry/instance_directory.h
@@ -20,9 +20,8 @@
   double ZonePreference = 0.4;
   /// A gate that could not be reached is avoided for so long.
   duration DownPause = std::chrono::milliseconds(1000);
-  /// A gate whose link was silent for longer, though it is probed more often,
-  /// is avoided.
-  duration SilencePause = std::chrono::milliseconds(750);
+  /// A gate whose link falls silent is avoided for so long.
+  duration SilencePause = std::chrono::milliseconds(300);
   /// A gate that refused is avoided for so long.
   duration RefusalPause = std::chrono::milliseconds(150);
   /// How long a record that vanished from the store is still believed while
@@ -37,8 +36,6 @@
   node_record Record;
   /// What the gate last said itself; beats the record.
   std::optional<gate_status> Status;
-  /// When Status came.
-  instant HeardAt;
   /// How many runs of this node are under way there.
   std::uint32_t InFlight = 0;
   /// The same when Status came.
@@ -71,9 +68,10 @@
   void replaceAll(const std::vector<node_record> &Records, instant Now);
 
   /// @name What the links say
-  void up(const std::string &Node, const peer_hello &Hello, instant Now);
+  void up(const std::string &Node, const peer_hello &Hello);
   void down(const std::string &Node, instant Now);
-  void status(const std::string &Node, const gate_status &Status, instant Now);
+  void silent(const std::string &Node, instant Now);
+  void status(const std::string &Node, const gate_status &Status);
 
   /// @name What becomes of runs
   void sent(const std::string &Node);
--- a/modules/clementine_proxy/gate/instance_client.cpp
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -170,7 +170,7 @@
     const auto Echo = findHeader(Answer.Headers, Client.Names.RequestId);
     if (!Echo || *Echo != RequestId) {
       log().info("answer to another request",
-                 {log_field(Call.Attempt), {"found", Echo.value_or("")}});
+                 {{"id", RequestId}, {"found", Echo.value_or("")}});
       // A stray answer may stand before the one that is due.
       if (Echo && !HasEnded && Answer.KeepsAlive)
         return readDone({});
@@ -191,7 +191,7 @@
         findHeader(Answer.Headers, "Content-Encoding").has_value();
     if (!IsSigned || (IsSuccess && IsEncoded)) {
       log().warning("answer without a valid proof",
-                    {log_field(Call.Attempt), {"status", Answer.Status}});
+                    {{"id", RequestId}, {"status", Answer.Status}});
       return end(run_outcome::Unknown, run_cause::Broken);
     }
     removeConnectionHeaders(Answer.Headers);
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -141,7 +141,7 @@
   learn(Found->second, Result, Now);
   if (Result.Outcome != run_outcome::Completed)
     log().info("run not completed",
-               {log_field(Attempt),
+               {{"id", Found->second.Order.RequestId},
                 {"outcome", runOutcomeName(Result.Outcome)},
                 {"cause", runCauseName(Result.Cause)},
                 {"instance", Instance},
@@ -199,7 +199,8 @@
   Report.Outcome = run_outcome::NotRun;
   Report.Cause = run_cause::Unheard;
   Report.Gate = status(Now);
-  log().info("asked for a run that never came", {log_field(Query.Attempt)});
+  log().info("asked for a run that never came",
+             {{"attempt", Query.Attempt.text()}});
   keep(Report, Now);
   Port.report(Link, std::move(Report));
 }
--- a/modules/clementine_proxy/http/http_session.h
+++ b/modules/clementine_proxy/http/http_session.h
@@ -40,7 +40,7 @@
 class http_session final : public std::enable_shared_from_this<http_session> {
 public:
   /// The most bytes that are read at once.
-  static constexpr std::size_t ReadChunk = 4 * 1024;
+  static constexpr std::size_t ReadChunk = 4096;
   /// The most requests of one connection at work.
   static constexpr std::size_t MaxPipelined = 32;
   /// The most answer bytes that wait for a slow reader before further requests
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -62,6 +62,14 @@
   return Forwarder;
 }
 
+/// Changes of records come in storms when many nodes start. The links tell of
+/// what is urgent, so that the rest can wait for company.
+store_duty_settings recordDutySettings() {
+  store_duty_settings Records;
+  Records.BatchPause = std::chrono::milliseconds(1000);
+  return Records;
+}
+
 instance_client_settings clientSettingsOf(const proxy_settings &Settings) {
   instance_client_settings Client;
   Client.Address = Settings.InstanceAddress;
@@ -105,7 +113,7 @@
         ConfigFollower("config", Adapter.store(), Adapter.configKey(),
                        store_duty_settings{}, configListener()),
         RecordFollower("nodes", Adapter.store(), std::string(RecordPrefix),
-                       store_duty_settings{}, recordListener()),
+                       recordDutySettings(), recordListener()),
         Keeper(Adapter.store(), std::string(RecordPrefix) + Settings.Name,
                store_duty_settings{}),
         Root("proxy") {
@@ -146,6 +154,12 @@
   }
 
 private:
+  /// Who gets the answer to a call, and since when it waits.
+  struct waiting_caller {
+    responder Respond;
+    instant Since;
+  };
+
   static instant now() { return boot_clock().now(); }
 
   template <class Action> void runOnLoop(const Action &Todo) {
@@ -329,7 +343,7 @@
       Peers.announceStatus();
       publish();
     }
-    Directory.status(Settings.Name, Gate.status(now()), now());
+    Directory.status(Settings.Name, Gate.status(now()));
     schedule();
   }
 
@@ -345,12 +359,14 @@
             Shows ? Instance->Slots : 0};
   }
 
+  /// The store holds a record only while there is an instance to tell of.
   void publish() {
-    Directory.record(ownRecord());
-    if (IsLeaving)
+    node_record Record = ownRecord();
+    Directory.record(Record);
+    if (Record.Instance.empty())
       Keeper.publish(std::nullopt);
     else
-      Keeper.publish(ownRecord());
+      Keeper.publish(std::move(Record));
   }
 
   /// What other nodes see of this gate.
@@ -371,7 +387,7 @@
   }
 
   void peerUp(const std::string &Node, const peer_hello &Hello) override {
-    Directory.up(Node, Hello, now());
+    Directory.up(Node, Hello);
     Forwarder.linkUp(Node, Hello.Self.Incarnation, now());
     askForConfig(Node, Hello.ConfigVersion);
     schedule();
@@ -382,6 +398,10 @@
     schedule();
   }
 
+  void peerSilent(const std::string &Node) override {
+    Directory.silent(Node, now());
+  }
+
   void askForConfig(const std::string &Node, std::uint64_t Version) {
     if (Version > Forwarder.configVersion())
       Peers.sendTo(Node, config_request{});
@@ -392,7 +412,7 @@
       Forwarder.reported(Node, std::move(*Report), now());
       schedule();
     } else if (const auto *Status = std::get_if<peer_status>(&Message)) {
-      Directory.status(Node, Status->Gate, now());
+      Directory.status(Node, Status->Gate);
       askForConfig(Node, Status->ConfigVersion);
     } else if (auto *Transfer = std::get_if<config_transfer>(&Message)) {
       useConfig(
@@ -414,8 +434,6 @@
         Peers.reply(Link, config_transfer{*Forwarder.config()});
     } else if (const auto *Hello = std::get_if<peer_hello>(&Message)) {
       learnFrom(*Hello);
-    } else if (const auto *Probe = std::get_if<peer_probe>(&Message)) {
-      (void)Probe;
     }
     schedule();
   }
@@ -444,16 +462,17 @@
   }
 
   void answer(call_number Call, response Response) override {
-    const auto Found = Responders.find(Call);
-    if (Found == Responders.end())
+    const auto Found = Callers.find(Call);
+    if (Found == Callers.end())
       return;
-    const responder Respond = std::move(Found->second);
-    Responders.erase(Found);
+    const waiting_caller Caller = std::move(Found->second);
+    Callers.erase(Found);
+    Latency.record(now() - Caller.Since);
     Metrics
         .counterFor("clementine_answers_total", "Answers given to callers.",
                     {{"status", std::to_string(Response.Status)}})
         .add();
-    Respond(std::move(Response));
+    Caller.Respond(std::move(Response));
   }
 
   /// @name gate_port
@@ -481,9 +500,9 @@
   void handle(request Request, responder Respond,
               departure &WhenGone) override {
     const call_number Call = ++LastCall;
-    Responders.emplace(Call, std::move(Respond));
+    Callers.emplace(Call, waiting_caller{std::move(Respond), now()});
     WhenGone = [this, Call] {
-      Responders.erase(Call);
+      Callers.erase(Call);
       Forwarder.callerGone(Call, now());
       schedule();
     };
@@ -582,6 +601,9 @@
   seeded_random Random;
   const std::uint64_t Incarnation;
   metrics_registry Metrics;
+  latency_histogram &Latency =
+      Metrics.latencyFor("clementine_request_seconds",
+                         "Time from a caller's request to its answer.");
   asio::io_context Loop{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work{
       Loop.get_executor()};
@@ -605,7 +627,7 @@
   prefix_follower RecordFollower;
   record_keeper Keeper;
   supervisor Root;
-  std::unordered_map<call_number, responder> Responders;
+  std::unordered_map<call_number, waiting_caller> Callers;
   call_number LastCall = 0;
   std::string AnnouncedInstance;
   bool IsLeaving = false;
--- a/modules/clementine_proxy/node/store_duties.cpp
+++ b/modules/clementine_proxy/node/store_duties.cpp
@@ -67,9 +67,11 @@
   Listener.Listed(Listed.value().Entries);
   const auto Ended = Store.watch(
       Prefix, Listed.value().Revision + 1,
-      [this](const platform_watch_batch &Batch) {
+      [this, &Stopping](const platform_watch_batch &Batch) {
         for (const platform_event &Event : Batch.Events)
           Listener.Changed(Event);
+        if (!Batch.Events.empty() && Settings.BatchPause > duration(0))
+          Pause.sleep(Settings.BatchPause, Stopping);
       },
       Stopping);
   if (Ended || Stopping)
--- a/modules/clementine_proxy/node/store_duties.h
+++ b/modules/clementine_proxy/node/store_duties.h
@@ -18,6 +18,9 @@
   /// The first pause after a failed call; it doubles with each failure.
   duration FirstPause = std::chrono::milliseconds(200);
   duration LongestPause = std::chrono::milliseconds(1000);
+  /// The pause after a change before the store is asked for the next ones, so
+  /// that several come in one answer.
+  duration BatchPause{0};
   /// The lease that keeps a node's record alive.
   std::chrono::seconds LeaseTime{6};
   /// How often the lease is renewed.
--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -135,8 +135,14 @@
 
 void peer_hub::sendTo(const std::string &Node, const peer_message &Message) {
   const auto Found = Dialled.find(Node);
-  if (Found != Dialled.end() && Found->second.Link)
-    Found->second.Link->send(Message);
+  if (Found == Dialled.end() || !Found->second.Link)
+    return;
+  // What follows a pause of the link shows at once whether it still works.
+  const instant Now = now();
+  if (Now - Found->second.UsedAt > Settings.ProbeInterval)
+    Found->second.ProbedAt = instant();
+  Found->second.UsedAt = Now;
+  Found->second.Link->send(Message);
 }
 
 void peer_hub::reply(std::uint64_t Link, const peer_message &Message) {
@@ -182,7 +188,10 @@
                     {{"peer", Node}, {"found", Hello->Self.Node}});
       return Link->close();
     }
-    Dialled[Node].IsUp = true;
+    dialled &Entry = Dialled[Node];
+    Entry.IsUp = true;
+    Entry.UnansweredSince.reset();
+    Entry.ProbedAt = now();
     log().info("link up", {{"peer", Node},
                            {"incarnation", Hello->Self.Incarnation},
                            {"config", Hello->ConfigVersion}});
@@ -207,6 +216,29 @@
     fail(Node);
 }
 
+void peer_hub::watchLink(const std::string &Node, dialled &Entry, instant Now) {
+  if (Entry.UnansweredSince && Entry.Link->lastHeard() > *Entry.UnansweredSince)
+    Entry.UnansweredSince.reset();
+  if (Entry.UnansweredSince) {
+    const duration Silence = Now - *Entry.UnansweredSince;
+    if (Silence > Settings.SilenceLimit) {
+      log().warning("link is silent", {{"peer", Node}});
+      return Entry.Link->close();
+    }
+    if (Silence > Settings.SuspectLimit)
+      Listener.peerSilent(Node);
+  }
+  const duration Interval = Now - Entry.UsedAt < Settings.IdleProbeInterval
+                                ? Settings.ProbeInterval
+                                : Settings.IdleProbeInterval;
+  if (Now - Entry.ProbedAt < Interval)
+    return;
+  Entry.ProbedAt = Now;
+  if (!Entry.UnansweredSince)
+    Entry.UnansweredSince = Now;
+  Entry.Link->send(peer_probe{Listener.status().ConfigVersion});
+}
+
 void peer_hub::tick() {
   if (IsStopped)
     return;
@@ -214,8 +246,7 @@
   // After a pause of this process the silence was its own.
   if (Now - LastTick > OwnPause)
     for (auto &[Node, Entry] : Dialled)
-      if (Entry.Link)
-        Entry.Link->heard(Now);
+      Entry.UnansweredSince.reset();
   LastTick = Now;
   std::vector<std::string> Failed;
   for (auto &[Node, Entry] : Dialled) {
@@ -224,15 +255,8 @@
       Failed.push_back(Node);
       continue;
     }
-    if (!Entry.Link || !Entry.IsUp)
-      continue;
-    if (Now - Entry.Link->lastHeard() > Settings.SilenceLimit) {
-      log().warning("link is silent", {{"peer", Node}});
-      Entry.Link->close();
-    } else if (Now - Entry.ProbedAt >= Settings.ProbeInterval) {
-      Entry.ProbedAt = Now;
-      Entry.Link->send(peer_probe{Listener.status().ConfigVersion});
-    }
+    if (Entry.Link && Entry.IsUp)
+      watchLink(Node, Entry, Now);
   }
   for (const std::string &Node : Failed) {
     dialled &Entry = Dialled[Node];
--- a/modules/clementine_proxy/peers/peer_hub.h
+++ b/modules/clementine_proxy/peers/peer_hub.h
@@ -15,10 +15,14 @@
 /// Times of a peer_hub.
 struct peer_hub_settings {
   duration ConnectTimeout = std::chrono::milliseconds(400);
-  /// How often a link is probed.
+  /// How often a link in use is probed.
   duration ProbeInterval = std::chrono::milliseconds(500);
-  /// A link without a byte for so long is lost.
-  duration SilenceLimit = std::chrono::milliseconds(1300);
+  /// How often a link is probed on which nothing was sent for that long.
+  duration IdleProbeInterval = std::chrono::milliseconds(2000);
+  /// A link that answers nothing for so long after a probe is suspect.
+  duration SuspectLimit = std::chrono::milliseconds(300);
+  /// A link that answers nothing for so long after a probe is lost.
+  duration SilenceLimit = std::chrono::milliseconds(900);
   /// A node that could not be reached is not dialled again for so long.
   duration RedialPause = std::chrono::milliseconds(300);
 
@@ -38,6 +42,8 @@
   virtual void peerUp(const std::string &Node, const peer_hello &Hello) = 0;
   /// The link to a dialled node is gone, or could not be made.
   virtual void peerDown(const std::string &Node, bool WasUp) = 0;
+  /// A dialled node has not answered for a while.
+  virtual void peerSilent(const std::string &Node) = 0;
   /// A dialled node has sent something.
   virtual void peerReplied(const std::string &Node, peer_message Message) = 0;
   /// A node that has dialled this one asks for something.
@@ -83,7 +89,10 @@
     bool IsUp = false;
     instant DialledAt;
     instant FailedAt;
+    instant UsedAt;
     instant ProbedAt;
+    /// When the first probe went out to which nothing has come back.
+    std::optional<instant> UnansweredSince;
   };
 
   void linkMessage(const std::shared_ptr<peer_link> &Link,
@@ -97,6 +106,7 @@
                  const std::shared_ptr<boost::asio::ip::tcp::socket> &Socket);
   void fail(const std::string &Node);
   void tick();
+  void watchLink(const std::string &Node, dialled &Entry, instant Now);
   dialled *owner(const std::shared_ptr<peer_link> &Link, std::string &Node);
 
   boost::asio::io_context &Loop;
--- a/modules/clementine_proxy/peers/peer_link.h
+++ b/modules/clementine_proxy/peers/peer_link.h
@@ -53,8 +53,6 @@
   std::uint64_t number() const { return Number; }
   /// @returns when bytes last came.
   instant lastHeard() const { return LastHeard; }
-  /// Counts the link as heard of at @p Now.
-  void heard(instant Now) { LastHeard = Now; }
   bool isOpen() const { return IsOpen; }
 
   /// Who is at the other end, once its hello has come.
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -123,8 +123,9 @@
 }
 
 template <class Archive> void serialize(Archive &Target, run_order &Value) {
-  Target(Value.Attempt, name(Value.Service), Value.Priority, Value.IsIdempotent,
-         Value.IsLeastUrgent, Value.TimeLeft, Value.Request);
+  Target(Value.Attempt, text(Value.RequestId), name(Value.Service),
+         Value.Priority, Value.IsIdempotent, Value.IsLeastUrgent,
+         Value.TimeLeft, Value.Request);
 }
 
 template <class Archive> void serialize(Archive &Target, run_report &Value) {
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -41,6 +41,8 @@
 /// Asks a gate to run a request on its instance.
 struct run_order {
   attempt_id Attempt;
+  /// As the caller named the request; for logs.
+  std::string RequestId;
   std::string Service;
   /// 0 is the most important.
   std::uint32_t Priority = 0;
