--- a/modules/clementine_proxy/gate/instance_client.cpp
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr std::size_t ReadChunk = 8 * 1024;
+constexpr std::size_t ReadChunk = 8192;
 constexpr unsigned FirstSuccess = 200;
 constexpr unsigned FirstRedirect = 300;
 /// An instance that takes no bytes for so long, in milliseconds, is given up.
@@ -265,7 +265,7 @@
 instance_client::takeIdle(bool MustBeFresh) {
   const instant Now = now();
   while (!Idle.empty()) {
-    const auto Connection = Idle.back();
+    auto Connection = Idle.back();
     if (Connection->isUsableAt(Now) && MustBeFresh &&
         Now - Connection->idleSince() > Settings.FreshEnough)
       return nullptr;
--- a/modules/clementine_proxy/peers/peer_link.cpp
+++ b/modules/clementine_proxy/peers/peer_link.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t ReadChunk = 16 * 1024;
+constexpr std::size_t ReadChunk = 16384;
 
 } // namespace
 
--- a/tests/users_platform/test_formats.cpp
+++ b/tests/users_platform/test_formats.cpp
@@ -45,7 +45,10 @@
            {"born", "1700"}}) {
     const std::string &Chosen = Name == Field ? Value : Default;
     if (!Chosen.empty())
-      Body += (Body.size() > 1 ? ",\"" : "\"") + Name + "\":" + Chosen;
+      Body.append(Body.size() > 1 ? ",\"" : "\"")
+          .append(Name)
+          .append("\":")
+          .append(Chosen);
   }
   return Body + "}";
 }
