--- /dev/null
+++ b/modules/clementine_proxy/node/critical_duty.cpp
@@ -0,0 +1,23 @@
+#include "clementine_proxy/node/critical_duty.h"
+
+#include "clementine_telemetry/clementine_telemetry.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace clementine::proxy {
+
+std::shared_ptr<supervised> makeCriticalDuty(const std::string &Name,
+                                             duty::body_function Body,
+                                             duty::wake_function Wake) {
+  return std::make_shared<duty>(
+      Name, std::move(Body), std::move(Wake),
+      [](const std::string &Duty, const std::string &Reason) {
+        logger("supervisor")
+            .error("duty failed for good",
+                   {{"duty", Duty}, {"reason", Reason}});
+        std::abort();
+      });
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/node/part_settings.cpp
@@ -0,0 +1,34 @@
+#include "clementine_proxy/node/part_settings.h"
+
+namespace clementine::proxy {
+
+namespace {
+
+/// A node repeats this share of what the whole fleet may.
+constexpr double RepeatShare = 0.7;
+
+} // namespace
+
+directory_settings directorySettingsOf(const proxy_settings &Settings) {
+  directory_settings Directory;
+  Directory.OwnNode = Settings.Name;
+  Directory.OwnZone = Settings.Zone;
+  return Directory;
+}
+
+forwarder_settings forwarderSettingsOf(const proxy_settings &Settings) {
+  forwarder_settings Forwarder;
+  Forwarder.OwnNode = Settings.Name;
+  Forwarder.OwnService = Settings.Service;
+  Forwarder.Repeats.Window = Settings.RepeatWindow;
+  Forwarder.Repeats.Ratio = RepeatShare * Settings.RepeatRatio.Value;
+  return Forwarder;
+}
+
+instance_client_settings clientSettingsOf(const proxy_settings &Settings) {
+  instance_client_settings Client;
+  Client.Address = Settings.InstanceAddress;
+  return Client;
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/node/part_settings.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINE_PROXY_NODE_PART_SETTINGS_H
+#define CLEMENTINE_PROXY_NODE_PART_SETTINGS_H
+
+#include "clementine_proxy/entry/forwarder.h"
+#include "clementine_proxy/entry/instance_directory.h"
+#include "clementine_proxy/gate/instance_client.h"
+#include "clementine_proxy/settings/proxy_settings.h"
+
+namespace clementine::proxy {
+
+/// @name What the settings of a node say to its parts
+directory_settings directorySettingsOf(const proxy_settings &Settings);
+forwarder_settings forwarderSettingsOf(const proxy_settings &Settings);
+instance_client_settings clientSettingsOf(const proxy_settings &Settings);
+
+} // namespace clementine::proxy
+
+#endif
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -4,8 +4,10 @@
 #include "clementine_proxy/gate/instance_client.h"
 #include "clementine_proxy/http/http_session.h"
 #include "clementine_proxy/model/boot_clock.h"
+#include "clementine_proxy/node/critical_duty.h"
 #include "clementine_proxy/node/operator_endpoints.h"
-#include "clementine_proxy/node/store_duties.h"
+#include "clementine_proxy/node/part_settings.h"
+#include "clementine_proxy/node/store_view.h"
 #include "clementine_proxy/peers/peer_hub.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
@@ -31,8 +33,6 @@
 constexpr std::chrono::milliseconds StopMargin{1200};
 constexpr std::chrono::milliseconds StopPoll{20};
 constexpr std::size_t ControlConnections = 64;
-/// A node repeats this share of what the whole fleet may.
-constexpr double RepeatShare = 0.7;
 
 std::uint64_t randomSeed() {
   std::random_device Device;
@@ -46,36 +46,6 @@
           .count());
 }
 
-directory_settings directorySettingsOf(const proxy_settings &Settings) {
-  directory_settings Directory;
-  Directory.OwnNode = Settings.Name;
-  Directory.OwnZone = Settings.Zone;
-  return Directory;
-}
-
-forwarder_settings forwarderSettingsOf(const proxy_settings &Settings) {
-  forwarder_settings Forwarder;
-  Forwarder.OwnNode = Settings.Name;
-  Forwarder.OwnService = Settings.Service;
-  Forwarder.Repeats.Window = Settings.RepeatWindow;
-  Forwarder.Repeats.Ratio = RepeatShare * Settings.RepeatRatio.Value;
-  return Forwarder;
-}
-
-/// Changes of records come in storms when many nodes start. The links tell of
-/// what is urgent, so that the rest can wait for company.
-store_duty_settings recordDutySettings() {
-  store_duty_settings Records;
-  Records.BatchPause = std::chrono::milliseconds(1000);
-  return Records;
-}
-
-instance_client_settings clientSettingsOf(const proxy_settings &Settings) {
-  instance_client_settings Client;
-  Client.Address = Settings.InstanceAddress;
-  return Client;
-}
-
 } // namespace
 
 /// The parts and the wires between them. Everything but the duties of the store
@@ -83,6 +53,7 @@
 class proxy_node::implementation final : private peer_hub_listener,
                                          private forward_port,
                                          private gate_port,
+                                         private store_listener,
                                          private http_handler {
 public:
   implementation(proxy_settings Given, deployment_adapter &Adapter)
@@ -110,13 +81,7 @@
         Ready(Loop, Settings.ReadyListen, ReadyHandler, ControlConnections),
         MetricsServer(Loop, Settings.MetricsListen, MetricsHandler,
                       ControlConnections),
-        ConfigFollower("config", Adapter.store(), Adapter.configKey(),
-                       store_duty_settings{}, configListener()),
-        RecordFollower("nodes", Adapter.store(), std::string(RecordPrefix),
-                       recordDutySettings(), recordListener()),
-        Keeper(Adapter.store(), std::string(RecordPrefix) + Settings.Name,
-               store_duty_settings{}),
-        Root("proxy") {
+        Store(Adapter, Loop, Settings.Name, Metrics, *this), Root("proxy") {
     arrange();
   }
 
@@ -171,67 +136,11 @@
     Done.get_future().wait();
   }
 
-  std::shared_ptr<supervised> dutyOf(const std::string &Name,
-                                     duty::body_function Body,
-                                     duty::wake_function WakeUp) {
-    return std::make_shared<duty>(
-        Name, std::move(Body), std::move(WakeUp),
-        [](const std::string &Duty, const std::string &Reason) {
-          logger("supervisor")
-              .error("duty failed for good",
-                     {{"duty", Duty}, {"reason", Reason}});
-          std::abort();
-        });
-  }
-
   /// The loop starts first and stops last: the duties of the store post to it.
   void arrange() {
-    Root.add(dutyOf(
+    Root.add(makeCriticalDuty(
         "loop", [this](const auto &) { Loop.run(); }, [this] { Loop.stop(); }));
-    auto Store = std::make_shared<supervisor>("store");
-    for (prefix_follower *Each : {&ConfigFollower, &RecordFollower})
-      Store->add(dutyOf(
-          Each->name(), [Each](const auto &Stopping) { Each->run(Stopping); },
-          [Each] { Each->wake(); }));
-    Store->add(dutyOf(
-        "record", [this](const auto &Stopping) { Keeper.run(Stopping); },
-        [this] { Keeper.wake(); }));
-    Root.add(Store);
-  }
-
-  prefix_follower::listener configListener() {
-    return {[this](const std::vector<platform_entry> &Entries) {
-              for (const platform_entry &Entry : Entries)
-                readConfig(Entry);
-            },
-            [this](const platform_event &Event) {
-              if (Event.Kind == platform_event::kind::Put)
-                readConfig(Event.Entry);
-            },
-            [this](bool IsConnected) {
-              Metrics
-                  .gaugeFor("clementine_store_connected",
-                            "Whether the store can be followed.")
-                  .set(IsConnected ? 1 : 0);
-            }};
-  }
-
-  /// On the follower's thread, so that a large text does not hold up requests.
-  void readConfig(const platform_entry &Entry) {
-    if (Entry.Key != Adapter.configKey())
-      return;
-    auto Decoded = Adapter.decodeConfig(Entry.Value);
-    if (!Decoded) {
-      Log.error(
-          "configuration not usable",
-          {{"revision", Entry.ModRevision}, {"error", Decoded.error().text()}});
-      return;
-    }
-    auto Config =
-        std::make_shared<const routing_config>(std::move(Decoded.value()));
-    asio::post(Loop, [this, Config, Revision = Entry.ModRevision] {
-      useConfig(Config, "store", Revision);
-    });
+    Root.add(Store.duties());
   }
 
   void useConfig(const std::shared_ptr<const routing_config> &Config,
@@ -246,51 +155,22 @@
                                         {"revision", Revision}});
   }
 
-  prefix_follower::listener recordListener() {
-    return {[this](const std::vector<platform_entry> &Entries) {
-              std::vector<node_record> Records;
-              for (const platform_entry &Entry : Entries)
-                if (auto Record = decodeRecord(Entry))
-                  Records.push_back(std::move(*Record));
-              asio::post(Loop, [this, Records] {
-                Directory.replaceAll(Records, now());
-              });
-            },
-            [this](const platform_event &Event) { recordChanged(Event); },
-            [](bool) {}};
-  }
-
-  std::optional<node_record> decodeRecord(const platform_entry &Entry) {
-    auto Record = node_record::decode(Entry.Value);
-    if (!Record ||
-        RecordPrefix.size() + Record->Node.size() != Entry.Key.size() ||
-        !Entry.Key.ends_with(Record->Node)) {
-      Log.warning("record not usable", {{"key", Entry.Key}});
-      return std::nullopt;
-    }
-    return Record;
+  /// @name store_listener
+  void configRead(const std::shared_ptr<const routing_config> &Config,
+                  platform_revision Revision) override {
+    useConfig(Config, "store", Revision);
   }
 
-  void recordChanged(const platform_event &Event) {
-    if (Event.Kind == platform_event::kind::Delete) {
-      const std::string Node = Event.Entry.Key.substr(
-          std::min(RecordPrefix.size(), Event.Entry.Key.size()));
-      asio::post(Loop, [this, Node, Revision = Event.Entry.ModRevision] {
-        Log.info("record vanished", {{"node", Node}, {"revision", Revision}});
-        Directory.vanished(Node, now());
-      });
-      return;
-    }
-    if (auto Record = decodeRecord(Event.Entry))
-      asio::post(Loop, [this, Record = std::move(*Record),
-                        Revision = Event.Entry.ModRevision] {
-        Log.info("record changed", {{"node", Record.Node},
-                                    {"incarnation", Record.Incarnation},
-                                    {"service", Record.Service},
-                                    {"instance", Record.Instance},
-                                    {"revision", Revision}});
-        Directory.record(Record);
-      });
+  void recordsListed(const std::vector<node_record> &Records) override {
+    Directory.replaceAll(Records, now());
+  }
+
+  void recordChanged(const node_record &Record) override {
+    Directory.record(Record);
+  }
+
+  void recordVanished(const std::string &Node) override {
+    Directory.vanished(Node, now());
   }
 
   /// @name The instance
@@ -364,9 +244,9 @@
     node_record Record = ownRecord();
     Directory.record(Record);
     if (Record.Instance.empty())
-      Keeper.publish(std::nullopt);
+      Store.publish(std::nullopt);
     else
-      Keeper.publish(std::move(Record));
+      Store.publish(std::move(Record));
   }
 
   /// What other nodes see of this gate.
@@ -623,9 +503,7 @@
   http_listener Control;
   http_listener Ready;
   http_listener MetricsServer;
-  prefix_follower ConfigFollower;
-  prefix_follower RecordFollower;
-  record_keeper Keeper;
+  store_view Store;
   supervisor Root;
   std::unordered_map<call_number, waiting_caller> Callers;
   call_number LastCall = 0;
--- a/modules/clementine_proxy/node/proxy_node.h
+++ b/modules/clementine_proxy/node/proxy_node.h
@@ -13,9 +13,6 @@
 /// their services, and is itself the gate of that instance.
 class proxy_node {
 public:
-  /// The prefix of the keys under which nodes publish themselves.
-  static constexpr std::string_view RecordPrefix = "clementinecove/nodes/";
-
   /// @param Adapter has to outlive the node.
   proxy_node(proxy_settings Settings, deployment_adapter &Adapter);
   ~proxy_node();
--- /dev/null
+++ b/modules/clementine_proxy/node/store_view.cpp
@@ -0,0 +1,125 @@
+#include "clementine_proxy/node/store_view.h"
+
+#include "clementine_proxy/node/critical_duty.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine::proxy {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Changes of records come in storms when many nodes start. The links tell of
+/// what is urgent, so that the rest can wait for company.
+store_duty_settings recordDutySettings() {
+  store_duty_settings Records;
+  Records.BatchPause = std::chrono::milliseconds(1000);
+  return Records;
+}
+
+} // namespace
+
+store_view::store_view(deployment_adapter &Adapter, asio::io_context &Loop,
+                       const std::string &OwnNode, metrics_registry &Metrics,
+                       store_listener &Listener)
+    : Adapter(Adapter), Loop(Loop), Listener(Listener),
+      Connected(Metrics.gaugeFor("clementine_store_connected",
+                                 "Whether the store can be followed.")),
+      Config("config", Adapter.store(), Adapter.configKey(), {},
+             configListener()),
+      Records("nodes", Adapter.store(), std::string(RecordPrefix),
+              recordDutySettings(), recordListener()),
+      Keeper(Adapter.store(), std::string(RecordPrefix) + OwnNode, {}) {}
+
+std::shared_ptr<supervised> store_view::duties() {
+  auto Store = std::make_shared<supervisor>("store");
+  for (prefix_follower *Each : {&Config, &Records})
+    Store->add(makeCriticalDuty(
+        Each->name(), [Each](const auto &Stopping) { Each->run(Stopping); },
+        [Each] { Each->wake(); }));
+  Store->add(makeCriticalDuty(
+      "record", [this](const auto &Stopping) { Keeper.run(Stopping); },
+      [this] { Keeper.wake(); }));
+  return Store;
+}
+
+prefix_follower::listener store_view::configListener() {
+  return {[this](const std::vector<platform_entry> &Entries) {
+            for (const platform_entry &Entry : Entries)
+              readConfig(Entry);
+          },
+          [this](const platform_event &Event) {
+            if (Event.Kind == platform_event::kind::Put)
+              readConfig(Event.Entry);
+          },
+          [this](bool IsConnected) { Connected.set(IsConnected ? 1 : 0); }};
+}
+
+/// On the follower's thread, so that a large text does not hold up requests.
+void store_view::readConfig(const platform_entry &Entry) {
+  if (Entry.Key != Adapter.configKey())
+    return;
+  auto Decoded = Adapter.decodeConfig(Entry.Value);
+  if (!Decoded) {
+    Log.error("configuration not usable", {{"revision", Entry.ModRevision},
+                                           {"error", Decoded.error().text()}});
+    return;
+  }
+  auto Read =
+      std::make_shared<const routing_config>(std::move(Decoded.value()));
+  asio::post(Loop, [this, Read, Revision = Entry.ModRevision] {
+    Listener.configRead(Read, Revision);
+  });
+}
+
+prefix_follower::listener store_view::recordListener() {
+  return {[this](const std::vector<platform_entry> &Entries) {
+            std::vector<node_record> Found;
+            for (const platform_entry &Entry : Entries)
+              if (auto Record = decodeRecord(Entry))
+                Found.push_back(std::move(*Record));
+            asio::post(Loop, [this, Found] { Listener.recordsListed(Found); });
+          },
+          [this](const platform_event &Event) { recordChanged(Event); },
+          [](bool) {}};
+}
+
+std::optional<node_record>
+store_view::decodeRecord(const platform_entry &Entry) const {
+  auto Record = node_record::decode(Entry.Value);
+  if (!Record ||
+      RecordPrefix.size() + Record->Node.size() != Entry.Key.size() ||
+      !Entry.Key.ends_with(Record->Node)) {
+    Log.warning("record not usable", {{"key", Entry.Key}});
+    return std::nullopt;
+  }
+  return Record;
+}
+
+void store_view::recordChanged(const platform_event &Event) {
+  if (Event.Kind == platform_event::kind::Delete) {
+    const std::string Node = Event.Entry.Key.substr(
+        std::min(RecordPrefix.size(), Event.Entry.Key.size()));
+    asio::post(Loop, [this, Node, Revision = Event.Entry.ModRevision] {
+      Log.info("record vanished", {{"node", Node}, {"revision", Revision}});
+      Listener.recordVanished(Node);
+    });
+    return;
+  }
+  if (auto Record = decodeRecord(Event.Entry))
+    asio::post(Loop, [this, Record = std::move(*Record),
+                      Revision = Event.Entry.ModRevision] {
+      Log.info("record changed", {{"node", Record.Node},
+                                  {"incarnation", Record.Incarnation},
+                                  {"service", Record.Service},
+                                  {"instance", Record.Instance},
+                                  {"revision", Revision}});
+      Listener.recordChanged(Record);
+    });
+}
+
+} // namespace clementine::proxy
