Process test: waits until every node knows the whole chain

Cause: the test's wait asked every node for front/read only, which makes no calls; desk's node need not have heard of ledger's upstream by then, so its call was refused and front answered with a failure. Ruled out: loss of a message between nodes (the numbered send's answer was kept and given again, as it should be). All checks stay as they were.

--- a/tests/process/test_path.cpp
+++ b/tests/process/test_path.cpp
@@ -51,7 +51,10 @@
 TEST_CASE("a request crosses three data centres and comes back whole") {
   deployment Mesh(chainOfThree());
   Mesh.acceptBundle(BundleText);
-  REQUIRE(Mesh.awaitReady("mobile", "front/read"));
+  // Each node has to know an upstream of every service in the chain, not only
+  // of its first.
+  for (const char *Target : {"front/read", "desk/read", "ledger/read"})
+    REQUIRE(Mesh.awaitReady("mobile", Target));
   const http_result First =
       Mesh.call("ledger-1", "front/book", "mobile",
                 {"Idempotency-Key: k1", "Clementine-Send: first"}, "nonce-1");
