Logs: written in batches, never held up by the stream, losses counted

Cause: a thread was woken and a write made for each record, and records that found the queue full vanished without a word. Boost's own flush() of an asynchronous sink also makes whoever logs wait until the stream has taken everything (seen in a trace of the new test: the logging thread stood in asynchronous_sink::consume). The writer now drains the queue every 100 ms, counts what it could not take and says so in a record. Ruled out: the dedicated thread of Boost.Log with a longer wait (it is woken by every record). Tests: test_telemetry, 20 cases; the new one hung with flush().

--- a/modules/clementine_telemetry/logs/log_output.cpp
+++ b/modules/clementine_telemetry/logs/log_output.cpp
@@ -3,14 +3,17 @@
 #include "clementine_telemetry/logs/log_records.h"
 
 #include <cassert>
+#include <condition_variable>
 #include <iostream>
+#include <mutex>
+#include <thread>
 
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/keywords/start_thread.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
@@ -22,10 +25,22 @@
 namespace expressions = boost::log::expressions;
 namespace sinks = boost::log::sinks;
 
+/// Drops the record that found the queue full, and counts it. Boost.Log asks
+/// for these three functions by name.
+struct count_on_overflow {
+  template <class Lock>
+  static bool on_overflow(const boost::log::record_view & /*Record*/,
+                          Lock & /*Held*/) {
+    ++log_records::dropped();
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
 using log_sink = sinks::asynchronous_sink<
     sinks::text_ostream_backend,
-    sinks::bounded_fifo_queue<log_output::MostWaiting,
-                              sinks::drop_on_overflow>>;
+    sinks::bounded_fifo_queue<log_output::MostWaiting, count_on_overflow>>;
 
 constexpr auto TimeFormat = "%Y-%m-%dT%H:%M:%S.%fZ";
 
@@ -47,40 +62,91 @@
 
 } // namespace
 
+/// The queue of records and the thread that writes them in batches: a thread
+/// that was woken for every record would cost more than the record.
 struct log_output::sink {
-  boost::shared_ptr<log_sink> Frontend;
+  explicit sink(std::shared_ptr<std::ostream> Stream)
+      : Stream(std::move(Stream)),
+        Backend(boost::make_shared<sinks::text_ostream_backend>()),
+        Frontend(boost::make_shared<log_sink>(
+            Backend, boost::log::keywords::start_thread = false)) {
+    Backend->add_stream(boost::shared_ptr<std::ostream>(this->Stream.get(),
+                                                        [](std::ostream *) {}));
+    Frontend->set_formatter(&formatRecord);
+  }
+
+  /// Writes what waits. The frontend's own flush() would hold up whoever logs
+  /// until the stream has taken everything.
+  void write() {
+    const std::lock_guard Lock(Writing);
+    Frontend->feed_records();
+    Stream->flush();
+  }
+
+  void writeUntilStopped() {
+    const logger Log("log");
+    std::uint64_t Reported = log_records::dropped();
+    std::unique_lock Lock(Mutex);
+    while (
+        !Changed.wait_for(Lock, WriteInterval, [this] { return Stopping; })) {
+      Lock.unlock();
+      write();
+      if (const std::uint64_t Dropped = log_records::dropped();
+          Dropped != Reported) {
+        write(); // The queue was full; this makes room for the record.
+        Log.warning("records dropped",
+                    {{"now", Dropped - Reported}, {"in_all", Dropped}});
+        Reported = Dropped;
+      }
+      Lock.lock();
+    }
+  }
+
+  void stop() {
+    {
+      const std::lock_guard Lock(Mutex);
+      Stopping = true;
+    }
+    Changed.notify_all();
+    Writer.join();
+    write();
+  }
+
+  const std::shared_ptr<std::ostream> Stream;
+  const boost::shared_ptr<sinks::text_ostream_backend> Backend;
+  const boost::shared_ptr<log_sink> Frontend;
+  std::mutex Writing;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Stopping = false;
+  std::thread Writer;
 };
 
 log_output::log_output(std::shared_ptr<std::ostream> Stream,
                        log_level Threshold)
-    : Sink(std::make_unique<sink>()) {
+    : Sink(std::make_unique<sink>(std::move(Stream))) {
   assert(log_records::threshold() == log_records::NothingEnabled &&
          "one log output at a time");
-  auto Backend = boost::make_shared<sinks::text_ostream_backend>();
-  auto *Target = Stream.get();
-  Backend->add_stream(boost::shared_ptr<std::ostream>(
-      Target, [Kept = std::move(Stream)](std::ostream *) {}));
-  Backend->auto_flush(true);
-  Sink->Frontend = boost::make_shared<log_sink>(Backend);
-  Sink->Frontend->set_formatter(&formatRecord);
   const auto Core = boost::log::core::get();
   Core->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
   Core->add_sink(Sink->Frontend);
   log_records::threshold() = static_cast<int>(Threshold);
+  Sink->Writer = std::thread([this] { Sink->writeUntilStopped(); });
 }
 
 log_output::~log_output() {
   log_records::threshold() = log_records::NothingEnabled;
   try {
     boost::log::core::get()->remove_sink(Sink->Frontend);
-    Sink->Frontend->stop();
-    Sink->Frontend->flush();
+    Sink->stop();
   } catch (...) {
     // The stream failed, and there is no other place to tell it.
   }
 }
 
-void log_output::flush() { Sink->Frontend->flush(); }
+void log_output::flush() { Sink->write(); }
+
+std::uint64_t log_output::dropped() { return log_records::dropped(); }
 
 std::shared_ptr<std::ostream> standardErrorStream() {
   return {&std::clog, [](std::ostream *) {}};
--- a/modules/clementine_telemetry/logs/log_output.h
+++ b/modules/clementine_telemetry/logs/log_output.h
@@ -3,7 +3,9 @@
 
 #include "clementine_telemetry/logs/logger.h"
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <iosfwd>
 #include <memory>
 
@@ -11,12 +13,14 @@
 
 /// Takes the records of all loggers to one stream while it exists.
 ///
-/// A thread of its own writes them, so that a slow stream does not hold up the
-/// parts; when MostWaiting records wait, further ones are dropped. Only one
-/// output may exist at a time.
+/// A thread of its own writes them every WriteInterval, so that a slow stream
+/// does not hold up the parts. When MostWaiting records wait, further ones are
+/// dropped and counted, and a record says how many; that bounds the volume to
+/// MostWaiting records an interval. Only one output may exist at a time.
 class log_output {
 public:
-  static constexpr std::size_t MostWaiting = 4096;
+  static constexpr std::size_t MostWaiting = 1024;
+  static constexpr std::chrono::milliseconds WriteInterval{100};
 
   /// @param Threshold the least severe records that are written.
   log_output(std::shared_ptr<std::ostream> Stream, log_level Threshold);
@@ -30,6 +34,9 @@
   /// Waits until all earlier records are written.
   void flush();
 
+  /// @returns how many records this process has dropped.
+  static std::uint64_t dropped();
+
 private:
   struct sink;
 
--- a/modules/clementine_telemetry/logs/log_records.h
+++ b/modules/clementine_telemetry/logs/log_records.h
@@ -4,6 +4,7 @@
 #include "clementine_telemetry/logs/logger.h"
 
 #include <atomic>
+#include <cstdint>
 
 namespace clementine::log_records {
 
@@ -13,6 +14,9 @@
 /// @returns the least severe level that is written, as a number.
 std::atomic<int> &threshold();
 
+/// @returns how many records found the queue full.
+std::atomic<std::uint64_t> &dropped();
+
 } // namespace clementine::log_records
 
 #endif
--- a/modules/clementine_telemetry/logs/logger.cpp
+++ b/modules/clementine_telemetry/logs/logger.cpp
@@ -56,6 +56,11 @@
   return Threshold;
 }
 
+std::atomic<std::uint64_t> &log_records::dropped() {
+  static std::atomic<std::uint64_t> Dropped{0};
+  return Dropped;
+}
+
 std::string_view logLevelName(log_level Level) {
   return LevelNames.at(static_cast<std::size_t>(Level));
 }
--- a/tests/telemetry/test_logs.cpp
+++ b/tests/telemetry/test_logs.cpp
@@ -2,8 +2,10 @@
 
 #include "clementine_telemetry/clementine_telemetry.h"
 
+#include <mutex>
 #include <regex>
 #include <sstream>
+#include <thread>
 
 using namespace clementine;
 
@@ -66,3 +68,46 @@
   CHECK(Captured.text().find("lost") == std::string::npos);
   CHECK(Captured.text().find("kept") != std::string::npos);
 }
+
+namespace {
+
+/// Takes bytes only once it is released.
+class blocked_stream : public std::stringbuf {
+public:
+  void release() { Gate.unlock(); }
+  blocked_stream() { Gate.lock(); }
+
+protected:
+  int sync() override {
+    const std::lock_guard Lock(Gate);
+    return std::stringbuf::sync();
+  }
+
+private:
+  std::mutex Gate;
+};
+
+} // namespace
+
+TEST_CASE("a stream that takes nothing holds nobody up; what is lost is told") {
+  blocked_stream Buffer;
+  const std::uint64_t Before = log_output::dropped();
+  constexpr std::size_t Surplus = 100;
+  {
+    log_output Output(std::make_shared<std::ostream>(&Buffer), log_level::Info);
+    const logger Log("gate");
+    Log.info("first");
+    // The writer takes the first record and is then stuck in the stream.
+    while (Buffer.str().empty())
+      std::this_thread::yield();
+    for (std::size_t Count = 0; Count < log_output::MostWaiting + Surplus;
+         ++Count)
+      Log.info("one more");
+    CHECK(log_output::dropped() - Before == Surplus);
+    Buffer.release();
+    while (Buffer.str().find("records dropped now=100 in_all=") ==
+           std::string::npos)
+      std::this_thread::yield();
+  }
+  CHECK(Buffer.str().find("one more") != std::string::npos);
+}
