Directory: a node whose clock was set back is found again

Cause: a record with a lower incarnation than the known one was taken for an older run even after the known one had vanished, so a node that restarted with its time of day set back was dropped after the grace and stayed unknown until the next full read.

--- a/modules/clementine_proxy/entry/instance_directory.cpp
+++ b/modules/clementine_proxy/entry/instance_directory.cpp
@@ -39,7 +39,9 @@
 
 void instance_directory::record(const node_record &Record) {
   known_gate &Gate = Gates[Record.Node];
-  if (Record.Incarnation < Gate.Record.Incarnation)
+  // Once the former record has vanished, a lower number is no older run: the
+  // VM's time of day was set back.
+  if (Record.Incarnation < Gate.Record.Incarnation && !Gate.LapsedAt)
     return;
   if (Record.Incarnation != Gate.Record.Incarnation) {
     Gate.Status.reset();
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -110,6 +110,27 @@
   CHECK(Book.report(Report) == report_verdict::Foreign);
 }
 
+TEST_CASE("a node that came back with an earlier clock is found again") {
+  seeded_random Random(1);
+  instance_directory Directory({}, Random);
+  const instant Now{1000s};
+  node_record Record;
+  Record.Node = "n";
+  Record.Service = "svc";
+  Record.Instance = "i-1";
+  Record.Incarnation = 5000;
+  Record.Slots = 4;
+  Directory.record(Record);
+  Directory.vanished("n", Now);
+  // Its time of day was set back before it started again.
+  Record.Incarnation = 3000;
+  Directory.record(Record);
+  CHECK(Directory.prune([](const std::string &) { return false; }, Now + 1s)
+            .empty());
+  REQUIRE(Directory.choose("svc", {}, Now) != nullptr);
+  CHECK(Directory.find("n")->Record.Incarnation == 3000);
+}
+
 TEST_CASE("repeats keep to a share of the requests in any window") {
   repeat_budget Budget({10s, 0.1, 1});
   instant Now{1000s};
