Links: no probe where traffic shows life; one node is asked for a configuration

Cause: every link in use was probed every 500 ms though reports came over it all the while, and a new version that many peers told of was fetched from each of them. Reports now carry the version, links that were heard within the interval are not probed, and one peer at a time is asked. The first message after a pause of a link is followed by a probe at once instead of at the next tick.

--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -156,7 +156,8 @@
                     Result.Cause,
                     Result.ReachedInstance,
                     std::move(Result.Response),
-                    status(Now)};
+                    status(Now),
+                    0};
   if (Link != OwnEntryLink)
     keep(Report, Now);
   Port.report(Link, std::move(Report));
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -33,6 +33,9 @@
 constexpr std::chrono::milliseconds StopMargin{1200};
 constexpr std::chrono::milliseconds StopPoll{20};
 constexpr std::size_t ControlConnections = 64;
+/// A peer that was asked for its configuration has so long before another one
+/// is asked.
+constexpr std::chrono::milliseconds ConfigAskPause{300};
 
 std::uint64_t randomSeed() {
   std::random_device Device;
@@ -282,13 +285,20 @@
     Directory.silent(Node, now());
   }
 
+  /// Asks one node at a time: many tell of a new version at once.
   void askForConfig(const std::string &Node, std::uint64_t Version) {
-    if (Version > Forwarder.configVersion())
-      Peers.sendTo(Node, config_request{});
+    const instant Now = now();
+    if (Version <= Forwarder.configVersion() ||
+        (Version <= AskedVersion && Now - AskedAt < ConfigAskPause))
+      return;
+    AskedVersion = Version;
+    AskedAt = Now;
+    Peers.sendTo(Node, config_request{});
   }
 
   void peerReplied(const std::string &Node, peer_message Message) override {
     if (auto *Report = std::get_if<run_report>(&Message)) {
+      askForConfig(Node, Report->ConfigVersion);
       Forwarder.reported(Node, std::move(*Report), now());
       schedule();
     } else if (const auto *Status = std::get_if<peer_status>(&Message)) {
@@ -366,6 +376,7 @@
 
   void report(std::uint64_t Link, run_report Report) override {
     if (Link != OwnEntryLink) {
+      Report.ConfigVersion = Forwarder.configVersion();
       if (IsLeaving)
         Report.Gate.Instance.clear();
       return Peers.reply(Link, Report);
@@ -436,6 +447,8 @@
     Forwarder.passTime(Now);
     if (IsLeaving && !IsTurnedAway && Now - LeavingSince > TurnAwayTime)
       turnAway();
+    const std::uint64_t Drops = log_output::dropped();
+    DroppedRecords.add(Drops - std::exchange(ReportedDrops, Drops));
     Housekeeping.expires_after(HousekeepingInterval);
     Housekeeping.async_wait([this](const auto &Error) {
       if (!Error)
@@ -481,6 +494,9 @@
   seeded_random Random;
   const std::uint64_t Incarnation;
   metrics_registry Metrics;
+  counter &DroppedRecords =
+      Metrics.counterFor("clementine_log_records_dropped_total",
+                         "Log records that found the queue full.");
   latency_histogram &Latency =
       Metrics.latencyFor("clementine_request_seconds",
                          "Time from a caller's request to its answer.");
@@ -511,6 +527,10 @@
   bool IsLeaving = false;
   bool IsTurnedAway = false;
   instant LeavingSince;
+  /// The newest configuration that was asked for at a peer, and when.
+  std::uint64_t AskedVersion = 0;
+  instant AskedAt;
+  std::uint64_t ReportedDrops = 0;
 };
 
 proxy_node::proxy_node(proxy_settings Settings, deployment_adapter &Adapter)
--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -137,12 +137,14 @@
   const auto Found = Dialled.find(Node);
   if (Found == Dialled.end() || !Found->second.Link)
     return;
-  // What follows a pause of the link shows at once whether it still works.
   const instant Now = now();
-  if (Now - Found->second.UsedAt > Settings.ProbeInterval)
-    Found->second.ProbedAt = instant();
-  Found->second.UsedAt = Now;
-  Found->second.Link->send(Message);
+  dialled &Entry = Found->second;
+  const bool WasIdle = Now - Entry.UsedAt > Settings.ProbeInterval;
+  Entry.UsedAt = Now;
+  Entry.Link->send(Message);
+  // What follows a pause of the link shows at once whether it still works.
+  if (WasIdle && Now - Entry.Link->lastHeard() > Settings.ProbeInterval)
+    probe(Entry, Now);
 }
 
 void peer_hub::reply(std::uint64_t Link, const peer_message &Message) {
@@ -231,8 +233,12 @@
   const duration Interval = Now - Entry.UsedAt < Settings.IdleProbeInterval
                                 ? Settings.ProbeInterval
                                 : Settings.IdleProbeInterval;
-  if (Now - Entry.ProbedAt < Interval)
+  if (Now - std::max(Entry.ProbedAt, Entry.Link->lastHeard()) < Interval)
     return;
+  probe(Entry, Now);
+}
+
+void peer_hub::probe(dialled &Entry, instant Now) {
   Entry.ProbedAt = Now;
   if (!Entry.UnansweredSince)
     Entry.UnansweredSince = Now;
--- a/modules/clementine_proxy/peers/peer_hub.h
+++ b/modules/clementine_proxy/peers/peer_hub.h
@@ -15,9 +15,9 @@
 /// Times of a peer_hub.
 struct peer_hub_settings {
   duration ConnectTimeout = std::chrono::milliseconds(400);
-  /// How often a link in use is probed.
+  /// A link in use that has brought nothing for so long is probed.
   duration ProbeInterval = std::chrono::milliseconds(500);
-  /// How often a link is probed on which nothing was sent for that long.
+  /// The same for a link on which nothing was sent for that long.
   duration IdleProbeInterval = std::chrono::milliseconds(2000);
   /// A link that answers nothing for so long after a probe is suspect.
   duration SuspectLimit = std::chrono::milliseconds(300);
@@ -107,6 +107,7 @@
   void fail(const std::string &Node);
   void tick();
   void watchLink(const std::string &Node, dialled &Entry, instant Now);
+  void probe(dialled &Entry, instant Now);
   dialled *owner(const std::shared_ptr<peer_link> &Link, std::string &Node);
 
   boost::asio::io_context &Loop;
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -130,7 +130,7 @@
 
 template <class Archive> void serialize(Archive &Target, run_report &Value) {
   Target(Value.Attempt, Value.Outcome, Value.Cause, Value.ReachedInstance,
-         Value.Response, Value.Gate);
+         Value.Response, Value.Gate, Value.ConfigVersion);
 }
 
 template <class Archive> void serialize(Archive &Target, run_query &Value) {
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -104,6 +104,8 @@
   bool ReachedInstance = false;
   response Response;
   gate_status Gate;
+  /// The configuration in force at the gate's node.
+  std::uint64_t ConfigVersion = 0;
 
   bool operator==(const run_report &) const = default;
 };
--- a/tests/proxy/test_messages.cpp
+++ b/tests/proxy/test_messages.cpp
@@ -104,6 +104,7 @@
   run_report Report;
   Report.Outcome = run_outcome::Completed;
   Report.Response = {200, {{"C", "d"}}, "body", true};
+  Report.ConfigVersion = 9;
   config_transfer Transfer;
   Transfer.Config.Version = 7;
   Transfer.Config.Routes = {{"r",
