--- a/extras/stand_in_users_platform/kv_store.cpp
+++ b/extras/stand_in_users_platform/kv_store.cpp
@@ -152,7 +152,7 @@
         Store.awaitEvents(queryOf(Request, "prefix"), After + 1, CheckInterval);
     if (!Batch)
       return jsonAnswer(json::object(), Gone);
-    if (Batch->Events.empty() && Time.now() < End)
+    if ((Batch->Events.empty() || EventsHidden) && Time.now() < End)
       continue;
     json Events = json::array();
     for (const platform_event &Event : Batch->Events) {
--- a/extras/stand_in_users_platform/kv_store.h
+++ b/extras/stand_in_users_platform/kv_store.h
@@ -36,6 +36,8 @@
   void setOutage(outage Kind) { Outage = Kind; }
   /// Carries out the next writes and loses their answers.
   void loseAnswers(int Count) { LostAnswers = Count; }
+  /// Lets watches wait without telling them anything.
+  void hideEvents(bool AreHidden) { EventsHidden = AreHidden; }
   /// Answers watches that began before now with 410.
   void forgetHistory() { ForgottenUpTo = Store.revision(); }
   void expireLeases() { Store.expireAllLeases(); }
@@ -61,6 +63,7 @@
   std::atomic<bool> Stopping{false};
   std::atomic<outage> Outage{outage::None};
   std::atomic<int> LostAnswers{0};
+  std::atomic<bool> EventsHidden{false};
   std::atomic<platform_revision> ForgottenUpTo{0};
   std::atomic<int> Calls{0};
   memory_platform_store Store;
--- a/modules/clementine_platform/etcd/http_channel.cpp
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -8,6 +8,10 @@
 #include <cstring>
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace clementine {
 
 namespace {
@@ -23,8 +27,11 @@
 
 constexpr long HttpOk = 200;
 
-/// TCP keepalive probes, in seconds, for a connection gone silent.
-constexpr long KeepaliveIdleSeconds = 5;
+/// A connection gone silent shows after KeepaliveIdleSeconds without a byte and
+/// KeepaliveProbes probes a second apart.
+constexpr long KeepaliveIdleSeconds = 2;
+constexpr long KeepaliveIntervalSeconds = 1;
+constexpr int KeepaliveProbes = 3;
 
 void initializeLibrary() {
   // A static guards the call, which is not safe from two threads at once.
@@ -130,6 +137,14 @@
                                                                             : 0;
   }
 
+  static int limitProbes(void * /*User*/, curl_socket_t Socket,
+                         curlsocktype /*Purpose*/) {
+    // The connection works without it; it is found dead later then.
+    (void)::setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepaliveProbes,
+                       sizeof(KeepaliveProbes));
+    return CURL_SOCKOPT_OK;
+  }
+
   void prepare(const std::string &Url, const std::string &Body) {
     curl_easy_reset(Easy);
     Received.clear();
@@ -155,7 +170,8 @@
     curl_easy_setopt(Easy, CURLOPT_PROXY, "");
     curl_easy_setopt(Easy, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, KeepaliveIdleSeconds);
-    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, KeepaliveIdleSeconds);
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, KeepaliveIntervalSeconds);
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, &handle::limitProbes);
     curl_easy_setopt(
         Easy, CURLOPT_CONNECTTIMEOUT_MS,
         duration_cast<milliseconds>(Limits.ConnectTimeout).count());
--- a/modules/clementine_proxy/node/store_duties.cpp
+++ b/modules/clementine_proxy/node/store_duties.cpp
@@ -56,7 +56,15 @@
   }
 }
 
+void prefix_follower::wake() {
+  EndsWatch = true;
+  Pause.wake();
+}
+
 bool prefix_follower::followOnce(const std::atomic<bool> &Stopping) {
+  EndsWatch = false;
+  if (Stopping) // Its wake() may have come before the line above.
+    return true;
   const auto Listed = Store.list(Prefix);
   if (!Listed) {
     setConnected(false, &Listed.error());
@@ -73,7 +81,7 @@
         if (!Batch.Events.empty() && Settings.BatchPause > duration(0))
           Pause.sleep(Settings.BatchPause, Stopping);
       },
-      Stopping);
+      EndsWatch);
   if (Ended || Stopping)
     return true;
   log().info("watch ended", {{"duty", Name}, {"error", Ended.error().text()}});
@@ -93,8 +101,10 @@
 }
 
 record_keeper::record_keeper(platform_store &Store, std::string Key,
-                             store_duty_settings Settings)
-    : Store(Store), Key(std::move(Key)), Settings(Settings) {}
+                             store_duty_settings Settings,
+                             std::function<void()> Regained)
+    : Store(Store), Key(std::move(Key)), Settings(Settings),
+      Regained(std::move(Regained)) {}
 
 void record_keeper::publish(std::optional<node_record> Record) {
   {
@@ -114,6 +124,10 @@
 void record_keeper::run(const std::atomic<bool> &Stopping) {
   while (!Stopping) {
     const bool IsDone = keepUp();
+    if (IsDone && Failures > 0) {
+      log().info("store answers again", {{"failures", Failures}});
+      Regained();
+    }
     Failures = IsDone ? 0 : Failures + 1;
     Pause.sleep(IsDone ? Settings.RenewInterval
                        : pauseAfter(Failures, Settings),
@@ -124,12 +138,19 @@
 bool record_keeper::keepUp() {
   const auto Target = wanted();
   if (!Target)
-    return !Written || write(Target);
+    return Written ? write(Target) : answers();
   if (!renew())
     return false;
   return Written == Target || write(Target);
 }
 
+bool record_keeper::answers() {
+  const auto Present = Store.get(Key);
+  if (!Present)
+    failed("read", Present.error());
+  return Present.has_value();
+}
+
 bool record_keeper::renew() {
   const instant Now = monotonic_clock().now();
   if (Lease != 0) {
--- a/modules/clementine_proxy/node/store_duties.h
+++ b/modules/clementine_proxy/node/store_duties.h
@@ -63,7 +63,9 @@
 
   /// The body of the duty.
   void run(const std::atomic<bool> &Stopping);
-  void wake() { Pause.wake(); }
+  /// Ends a pause and a watch under way; everything is then read again. An
+  /// answer that the store owed to the watch may have been lost in an outage.
+  void wake();
   const std::string &name() const { return Name; }
 
 private:
@@ -76,6 +78,7 @@
   const store_duty_settings Settings;
   const listener Listener;
   interruptible_pause Pause;
+  std::atomic<bool> EndsWatch{false};
   std::optional<bool> IsConnected;
   unsigned Failures = 0;
 };
@@ -85,8 +88,10 @@
 /// which the store carries out late cannot undo a newer one.
 class record_keeper {
 public:
+  /// @param Regained called on the duty's thread when a call succeeds after one
+  /// that failed.
   record_keeper(platform_store &Store, std::string Key,
-                store_duty_settings Settings);
+                store_duty_settings Settings, std::function<void()> Regained);
 
   record_keeper(const record_keeper &) = delete;
   record_keeper &operator=(const record_keeper &) = delete;
@@ -100,6 +105,7 @@
 
 private:
   bool keepUp();
+  bool answers();
   bool renew();
   bool write(const std::optional<node_record> &Wanted);
   std::optional<node_record> wanted();
@@ -108,6 +114,7 @@
   platform_store &Store;
   const std::string Key;
   const store_duty_settings Settings;
+  const std::function<void()> Regained;
   interruptible_pause Pause;
   std::mutex Mutex;
   std::optional<node_record> Wanted;
--- a/modules/clementine_proxy/node/store_view.cpp
+++ b/modules/clementine_proxy/node/store_view.cpp
@@ -33,7 +33,10 @@
              configListener()),
       Records("nodes", Adapter.store(), std::string(RecordPrefix),
               recordDutySettings(), recordListener()),
-      Keeper(Adapter.store(), std::string(RecordPrefix) + OwnNode, {}) {}
+      Keeper(Adapter.store(), std::string(RecordPrefix) + OwnNode, {}, [this] {
+        Config.wake();
+        Records.wake();
+      }) {}
 
 std::shared_ptr<supervised> store_view::duties() {
   auto Store = std::make_shared<supervisor>("store");
--- a/tests/users_platform/test_store.cpp
+++ b/tests/users_platform/test_store.cpp
@@ -134,6 +134,11 @@
   Test.Server.put("f/3", "v");
   Test.Server.setOutage(outage::None);
   CHECK(Sees("f/3"));
+  // An answer that is lost shows nothing; waking reads everything again.
+  Test.Server.hideEvents(true);
+  Test.Server.put("f/4", "v");
+  Follower.wake();
+  CHECK(Sees("f/4"));
   Stopping = true;
   Follower.wake();
   Test.Store.interrupt();
@@ -145,7 +150,8 @@
   fixture Test;
   proxy::store_duty_settings Settings;
   Settings.RenewInterval = 50ms;
-  proxy::record_keeper Keeper(Test.Store, "r/n", Settings);
+  std::atomic<int> Regained{0};
+  proxy::record_keeper Keeper(Test.Store, "r/n", Settings, [&] { ++Regained; });
   const proxy::node_record Record{"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5};
   std::atomic<bool> Stopping{false};
   std::thread Duty([&] { Keeper.run(Stopping); });
@@ -164,6 +170,16 @@
   CHECK(Holds(Record.encoded()));
   Keeper.publish(std::nullopt);
   CHECK(Holds(""));
+  // Without a record it still learns that the store was away.
+  const int Before = Regained;
+  Test.Server.setOutage(outage::Unavailable);
+  const int Calls = Test.Server.calls();
+  while (Test.Server.calls() == Calls)
+    std::this_thread::sleep_for(1ms);
+  Test.Server.setOutage(outage::None);
+  for (int Step = 0; Step < 1000 && Regained == Before; ++Step)
+    std::this_thread::sleep_for(10ms);
+  CHECK(Regained == Before + 1);
   Stopping = true;
   Keeper.wake();
   Duty.join();
