Wire: frames are coded on plain buffers

Cause: each frame made a Boost.Iostreams stream, which allocates 4 KiB and sets up a locale; a profile of a node under 970 requests a second on loopback showed 10 % of its samples in libstdc++, mostly dynamic_cast of facets. view_buffer of clementine_wire now serves both codecs, with its writing twin. Ruled out: a stream kept for reuse (cereal's archive takes it by reference, so that state would leak between messages).

--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -1,16 +1,15 @@
 #include "clementine_proxy/peers/peer_messages.h"
 
 #include "clementine_wire/codec/bounded_field.h"
+#include "clementine_wire/codec/byte_buffers.h"
 
 #include <boost/endian/conversion.hpp>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/variant.hpp>
 
-#include <boost/iostreams/device/array.hpp>
-#include <boost/iostreams/device/back_inserter.hpp>
-#include <boost/iostreams/stream.hpp>
-
 #include <cstring>
+#include <istream>
+#include <ostream>
 
 namespace clementine {
 
@@ -199,8 +198,8 @@
 std::string encodeFrame(const peer_message &Message) {
   std::string Frame(LengthBytes, '\0');
   {
-    boost::iostreams::stream<boost::iostreams::back_insert_device<std::string>>
-        Stream(Frame);
+    append_buffer Buffer(Frame);
+    std::ostream Stream(&Buffer);
     cereal::PortableBinaryOutputArchive Archive(Stream);
     Archive(Message);
   }
@@ -222,8 +221,9 @@
   if (Buffer.size() - Offset - LengthBytes < Length)
     return frame_progress::Incomplete;
   try {
-    boost::iostreams::stream<boost::iostreams::array_source> Stream(
-        Buffer.data() + Offset + LengthBytes, Length);
+    view_buffer Bytes(
+        std::string_view(Buffer).substr(Offset + LengthBytes, Length));
+    std::istream Stream(&Bytes);
     cereal::PortableBinaryInputArchive Archive(Stream);
     Archive(Message);
   } catch (const std::exception &) {
--- a/modules/clementine_wire/codec/message_codec.cpp
+++ b/modules/clementine_wire/codec/message_codec.cpp
@@ -1,13 +1,13 @@
 #include "clementine_wire/codec/message_codec.h"
 
 #include "clementine_wire/codec/bounded_field.h"
+#include "clementine_wire/codec/byte_buffers.h"
 
 #include <cereal/archives/portable_binary.hpp>
 
 #include <array>
 #include <istream>
 #include <sstream>
-#include <streambuf>
 #include <type_traits>
 
 namespace clementine {
@@ -19,15 +19,6 @@
 constexpr std::uint32_t LongestHeaderValue = 8192;
 constexpr std::uint32_t MostHeaders = 64;
 
-/// Reads from bytes that somebody else owns.
-class view_buffer final : public std::streambuf {
-public:
-  explicit view_buffer(std::string_view Bytes) {
-    char *Begin = const_cast<char *>(Bytes.data());
-    setg(Begin, Begin, Begin + Bytes.size());
-  }
-};
-
 bounded_string name(std::string &Text) { return {Text, LongestName}; }
 bounded_string key(std::string &Text) { return {Text, LongestKey}; }
 bounded_string body(std::string &Text) { return {Text, LargestBody}; }
