--- a/extras/stand_in_http/http_client.cpp
+++ b/extras/stand_in_http/http_client.cpp
@@ -17,7 +17,7 @@
 /// The largest answer accepted, in bytes.
 constexpr std::size_t LargestAnswer = std::size_t{64} << 20U;
 
-constexpr std::string_view OutcomeField = "clementine-outcome:";
+constexpr const char *OutcomeField = "clementine-outcome";
 
 } // namespace
 
@@ -30,9 +30,10 @@
   handle(const handle &) = delete;
   handle &operator=(const handle &) = delete;
 
-  std::optional<answer> call(const std::string &Url,
+  std::optional<answer> call(const std::string &Method, const std::string &Url,
                              const std::vector<std::string> &Headers,
-                             const std::string *Body, duration Timeout) {
+                             const std::string *Body, duration Timeout,
+                             connection Connection) {
     curl_easy_reset(Easy);
     Received = {};
     curl_slist *List = nullptr;
@@ -41,6 +42,9 @@
     List = curl_slist_append(List, "Expect:");
     curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
     curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, List);
+    const long IsAlone = Connection == connection::Alone ? 1 : 0;
+    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, IsAlone);
+    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, IsAlone);
     curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(Easy, CURLOPT_PROXY, "");
     const auto Allowed = duration_cast<milliseconds>(Timeout).count();
@@ -59,6 +63,7 @@
       curl_easy_setopt(Easy, CURLOPT_READDATA, this);
       curl_easy_setopt(Easy, CURLOPT_SEEKFUNCTION, &handle::refuseRewind);
     }
+    curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Method.c_str());
     const CURLcode Code = curl_easy_perform(Easy);
     curl_slist_free_all(List);
     if (Code != CURLE_OK)
@@ -95,16 +100,18 @@
   static std::size_t keepHeader(char *Bytes, std::size_t Size,
                                 std::size_t Count, void *User) {
     auto &Self = *static_cast<handle *>(User);
-    std::string_view Line(Bytes, Size * Count);
-    if (Line.size() <= OutcomeField.size() ||
-        ::strncasecmp(Line.data(), OutcomeField.data(), OutcomeField.size()) !=
-            0)
-      return Size * Count;
-    Line.remove_prefix(OutcomeField.size());
-    const std::size_t First = Line.find_first_not_of(' ');
+    const std::string_view Line(Bytes, Size * Count);
+    const std::size_t Colon = Line.find(':');
+    const std::size_t First = Line.find_first_not_of(' ', Colon + 1);
     const std::size_t Last = Line.find_last_not_of(" \r\n");
-    if (First != std::string_view::npos && First <= Last)
-      Self.Received.Outcome = Line.substr(First, Last - First + 1);
+    if (Colon == std::string_view::npos || First == std::string_view::npos ||
+        First > Last || Last == std::string_view::npos)
+      return Size * Count;
+    const std::string Name(Line.substr(0, Colon));
+    const std::string Value(Line.substr(First, Last - First + 1));
+    if (::strcasecmp(Name.c_str(), OutcomeField) == 0)
+      Self.Received.Outcome = Value;
+    Self.Received.Headers[Name] = Value;
     return Size * Count;
   }
 
@@ -124,18 +131,25 @@
 http_client::post(const std::string &Url,
                   const std::vector<std::string> &Headers,
                   const std::string &Body, duration Timeout) {
+  return send("POST", Url, Headers, Body, Timeout, connection::Kept);
+}
+
+std::optional<http_client::answer>
+http_client::send(const std::string &Method, const std::string &Url,
+                  const std::vector<std::string> &Headers,
+                  const std::string &Body, duration Timeout,
+                  connection Connection) {
   auto Handle = borrow();
-  auto Answer = Handle->call(Url, Headers, &Body, Timeout);
+  const bool HasBody = !Body.empty() || Method == "POST";
+  auto Answer = Handle->call(Method, Url, Headers, HasBody ? &Body : nullptr,
+                             Timeout, Connection);
   giveBack(std::move(Handle));
   return Answer;
 }
 
 std::optional<http_client::answer> http_client::get(const std::string &Url,
                                                     duration Timeout) {
-  auto Handle = borrow();
-  auto Answer = Handle->call(Url, {}, nullptr, Timeout);
-  giveBack(std::move(Handle));
-  return Answer;
+  return send("GET", Url, {}, "", Timeout, connection::Kept);
 }
 
 std::unique_ptr<http_client::handle> http_client::borrow() {
--- a/extras/stand_in_http/http_client.h
+++ b/extras/stand_in_http/http_client.h
@@ -3,6 +3,8 @@
 
 #include "clementine_core/time/clock.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -21,10 +23,15 @@
   struct answer {
     long Status = 0;
     std::string Body;
+    /// By their names as they came.
+    std::map<std::string, std::string> Headers;
     /// The value of the header Clementine-Outcome, if any.
     std::string Outcome;
   };
 
+  /// Whether a call may use a connection of an earlier one.
+  enum class connection : std::uint8_t { Kept, Alone };
+
   http_client();
   ~http_client();
 
@@ -38,6 +45,13 @@
                              const std::vector<std::string> &Headers,
                              const std::string &Body, duration Timeout);
 
+  /// Sends one request.
+  /// @returns the whole answer, or nothing if none came in @p Timeout.
+  std::optional<answer> send(const std::string &Method, const std::string &Url,
+                             const std::vector<std::string> &Headers,
+                             const std::string &Body, duration Timeout,
+                             connection Connection);
+
   /// Gets @p Url.
   /// @returns the whole answer, or nothing if none came in @p Timeout.
   std::optional<answer> get(const std::string &Url, duration Timeout);
--- a/tests/process/child_process.cpp
+++ b/extras/stand_in_process/child_process.cpp
@@ -1,4 +1,4 @@
-#include "child_process.h"
+#include "stand_in_process/child_process.h"
 
 #include <chrono>
 #include <thread>
@@ -8,7 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-namespace clementine::test {
+namespace clementine::stand_in {
 
 child_process::child_process(const std::string &Program,
                              std::vector<std::string> Arguments,
@@ -65,4 +65,4 @@
   return -1;
 }
 
-} // namespace clementine::test
+} // namespace clementine::stand_in
--- a/tests/process/child_process.h
+++ b/extras/stand_in_process/child_process.h
@@ -1,14 +1,14 @@
-#ifndef CLEMENTINE_TESTS_PROCESS_CHILD_PROCESS_H
-#define CLEMENTINE_TESTS_PROCESS_CHILD_PROCESS_H
+#ifndef STAND_IN_PROCESS_CHILD_PROCESS_H
+#define STAND_IN_PROCESS_CHILD_PROCESS_H
 
 #include <string>
 #include <vector>
 
 #include <sys/types.h>
 
-namespace clementine::test {
+namespace clementine::stand_in {
 
-/// A process that this test started, and ends at the latest with itself.
+/// A process that this one started, and ends at the latest with itself.
 class child_process {
 public:
   /// @param Program the path of the program.
@@ -38,6 +38,6 @@
   pid_t Id = -1;
 };
 
-} // namespace clementine::test
+} // namespace clementine::stand_in
 
 #endif
--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -1,6 +1,5 @@
 #include "stand_in_users_platform/app_instance.h"
 
-#include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -17,23 +16,6 @@
 constexpr std::chrono::milliseconds ReportTimeout{1000};
 constexpr std::chrono::milliseconds CallTimeout{2000};
 
-std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
-                       void *Body) {
-  static_cast<std::string *>(Body)->append(Data, Size * Count);
-  return Size * Count;
-}
-
-std::size_t addHeader(char *Data, std::size_t Size, std::size_t Count,
-                      void *Headers) {
-  const std::string Line(Data, Size * Count);
-  const auto Colon = Line.find(": ");
-  if (Colon != std::string::npos)
-    (*static_cast<std::map<std::string, std::string> *>(
-        Headers))[Line.substr(0, Colon)] =
-        Line.substr(Colon + 2, Line.find_last_not_of("\r\n") - Colon - 1);
-  return Size * Count;
-}
-
 http_answer refusal(unsigned Status) {
   http_answer Answer;
   Answer.Status = Status;
@@ -43,42 +25,6 @@
 
 } // namespace
 
-plain_answer sendRequest(const std::string &Method, const endpoint &Node,
-                         const std::string &Path,
-                         const std::vector<std::string> &Headers,
-                         const std::string &Body, duration Timeout) {
-  plain_answer Answer;
-  CURL *Easy = curl_easy_init();
-  curl_slist *Lines = curl_slist_append(nullptr, "Expect:");
-  for (const std::string &Header : Headers)
-    Lines = curl_slist_append(Lines, Header.c_str());
-  const std::string Url = "http://" + Node.text() + Path;
-  curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
-  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Lines);
-  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Method.c_str());
-  if (Method == "POST") {
-    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE,
-                     static_cast<long>(Body.size()));
-    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Body.data());
-  }
-  curl_easy_setopt(
-      Easy, CURLOPT_TIMEOUT_MS,
-      static_cast<long>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(Timeout)
-              .count()));
-  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &appendBody);
-  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Answer.Body);
-  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &addHeader);
-  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Answer.Headers);
-  if (curl_easy_perform(Easy) == CURLE_OK)
-    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Answer.Status);
-  curl_slist_free_all(Lines);
-  curl_easy_cleanup(Easy);
-  return Answer;
-}
-
 void run_counts::add(const std::string &RequestId,
                      const std::string &Instance) {
   const std::lock_guard Lock(Mutex);
@@ -155,18 +101,18 @@
       Settings.Calls.begin(), Settings.Calls.end(),
       [&](const instance_sub_call &Call) {
         const std::string Id = Settings.Id + "-" + std::to_string(++LastCall);
-        return sendRequest(
-                   "GET", Settings.Outbound, Call.Prefix + "x",
-                   {"Host: " + Call.Host, "X-Request-Id: " + Id,
-                    "X-Deadline-Ms: " + Request.header("X-Deadline-Ms")},
-                   "", CallTimeout)
-                   .Status == Ok;
+        const auto Answer = Client.send(
+            "GET", "http://" + Settings.Outbound.text() + Call.Prefix + "x",
+            {"Host: " + Call.Host, "X-Request-Id: " + Id,
+             "X-Deadline-Ms: " + Request.header("X-Deadline-Ms")},
+            "", CallTimeout, http_client::connection::Alone);
+        return Answer && Answer->Status == Ok;
       });
 }
 
 bool app_instance::report() {
   const nlohmann::json Body = {{"service", Settings.Service},
-                               {"address", Settings.Listen.text()},
+                               {"address", Settings.Address.text()},
                                {"zone", Settings.Zone},
                                {"version", "v1"},
                                {"slots", Settings.Slots},
@@ -174,11 +120,13 @@
                                {"cold_remaining_ms", 0},
                                {"born", Settings.StartedAt},
                                {"sequence", ++Sequence}};
-  return sendRequest("POST", Settings.Control,
-                     "/clementinecove/Instances.Heartbeat/" + Settings.Id,
-                     {"Content-Type: application/json"}, Body.dump(),
-                     ReportTimeout)
-             .Status == Ok;
+  const auto Answer =
+      Client.send("POST",
+                  "http://" + Settings.Control.text() +
+                      "/clementinecove/Instances.Heartbeat/" + Settings.Id,
+                  {"Content-Type: application/json"}, Body.dump(),
+                  ReportTimeout, http_client::connection::Alone);
+  return Answer && Answer->Status == Ok;
 }
 
 bool app_instance::drain() {
--- a/extras/stand_in_users_platform/app_instance.h
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -2,6 +2,7 @@
 #define STAND_IN_USERS_PLATFORM_APP_INSTANCE_H
 
 #include "clementine_core/clementine_core.h"
+#include "stand_in_http/http_client.h"
 #include "stand_in_http/http_server.h"
 
 #include <atomic>
@@ -28,6 +29,8 @@
   std::string Service;
   std::string Zone;
   endpoint Listen;
+  /// Where it says that it can be reached.
+  endpoint Address;
   /// Where the node beside it takes requests and reports.
   endpoint Outbound;
   endpoint Control;
@@ -84,6 +87,7 @@
   std::atomic<unsigned> Busy{0};
   std::atomic<std::uint64_t> Sequence{0};
   std::atomic<std::uint64_t> LastCall{0};
+  http_client Client;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopping = false;
@@ -91,20 +95,6 @@
   std::thread Reporter;
 };
 
-/// A whole answer of a node.
-struct plain_answer {
-  long Status = 0;
-  std::string Body;
-  std::map<std::string, std::string> Headers;
-};
-
-/// Sends one request on a connection of its own; status 0 when no whole answer
-/// came.
-plain_answer sendRequest(const std::string &Method, const endpoint &Node,
-                         const std::string &Path,
-                         const std::vector<std::string> &Headers,
-                         const std::string &Body, duration Timeout);
-
 } // namespace clementine::stand_in
 
 #endif
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -236,7 +236,7 @@
     return {Settings.Name,
             Incarnation,
             Settings.Zone,
-            Settings.PeerListen,
+            Settings.peerAddress(),
             Settings.Service,
             Shows ? Instance->Instance : "",
             Shows ? Instance->Slots : 0};
--- a/modules/clementine_proxy/settings/proxy_settings.cpp
+++ b/modules/clementine_proxy/settings/proxy_settings.cpp
@@ -16,6 +16,7 @@
 
 using member =
     std::variant<std::string proxy_settings::*, endpoint proxy_settings::*,
+                 std::optional<endpoint> proxy_settings::*,
                  duration proxy_settings::*, fraction proxy_settings::*,
                  std::uint64_t proxy_settings::*,
                  log_threshold proxy_settings::*>;
@@ -30,7 +31,7 @@
 
 using settings = proxy_settings;
 
-constexpr std::array<entry, 15> Table = {{
+constexpr std::array<entry, 16> Table = {{
     {"node", "name", &settings::Name},
     {"node", "zone", &settings::Zone},
     {"node", "stop_grace", &settings::StopGrace, false},
@@ -41,6 +42,7 @@
     {"listen", "control", &settings::ControlListen},
     {"listen", "ready", &settings::ReadyListen},
     {"listen", "peer", &settings::PeerListen},
+    {"listen", "peer_advertised", &settings::PeerAdvertised, false},
     {"listen", "metrics", &settings::MetricsListen},
     {"listen", "max_connections", &settings::MaxConnections, false},
     {"store", "address", &settings::StoreAddress},
--- a/modules/clementine_proxy/settings/proxy_settings.h
+++ b/modules/clementine_proxy/settings/proxy_settings.h
@@ -23,6 +23,9 @@
   endpoint ReadyListen;
   /// Where other nodes link.
   endpoint PeerListen;
+  /// Where other nodes are told to link, if it is not PeerListen: behind a
+  /// translation of addresses.
+  std::optional<endpoint> PeerAdvertised;
   endpoint MetricsListen;
   endpoint StoreAddress;
   /// How long a stop may take.
@@ -34,6 +37,11 @@
   std::uint64_t MaxConnections = 3000;
   log_threshold LogLevel = log_threshold::Info;
 
+  /// @returns where other nodes link.
+  const endpoint &peerAddress() const {
+    return PeerAdvertised ? *PeerAdvertised : PeerListen;
+  }
+
   bool operator==(const proxy_settings &) const = default;
 };
 
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -8,7 +8,6 @@
 #include <stdexcept>
 #include <thread>
 
-#include <curl/curl.h>
 #include <stdlib.h>
 
 namespace clementine::test {
@@ -16,6 +15,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using stand_in::http_client;
 
 constexpr int HttpPort = 21000;
 constexpr int PeerPort = 21001;
@@ -34,23 +34,6 @@
   return std::string(CLEMENTINE_BINARY_DIR) + "/" + Name;
 }
 
-std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
-                       void *Body) {
-  static_cast<std::string *>(Body)->append(Data, Size * Count);
-  return Size * Count;
-}
-
-std::size_t addHeader(char *Data, std::size_t Size, std::size_t Count,
-                      void *Headers) {
-  const std::string Line(Data, Size * Count);
-  const auto Colon = Line.find(": ");
-  if (Colon != std::string::npos)
-    (*static_cast<std::map<std::string, std::string> *>(
-        Headers))[Line.substr(0, Colon)] =
-        Line.substr(Colon + 2, Line.find_last_not_of("\r\n") - Colon - 1);
-  return Size * Count;
-}
-
 /// The owner of all test bundles.
 const signing_key &ownerKey() {
   static const signing_key Key = signing_key::generate();
@@ -59,38 +42,6 @@
 
 } // namespace
 
-http_result httpSend(const std::string &Method, const std::string &Url,
-                     const std::vector<std::string> &Headers,
-                     const std::string &Body,
-                     std::chrono::milliseconds Timeout) {
-  http_result Result;
-  CURL *Easy = curl_easy_init();
-  curl_slist *Lines = curl_slist_append(nullptr, "Expect:");
-  for (const std::string &Header : Headers)
-    Lines = curl_slist_append(Lines, Header.c_str());
-  curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
-  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Lines);
-  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Method.c_str());
-  if (Method == "POST") {
-    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE,
-                     static_cast<long>(Body.size()));
-    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Body.data());
-  }
-  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(Timeout.count()));
-  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &appendBody);
-  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Result.Body);
-  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &addHeader);
-  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Result.Headers);
-  if (curl_easy_perform(Easy) == CURLE_OK)
-    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Result.Status);
-  curl_slist_free_all(Lines);
-  curl_easy_cleanup(Easy);
-  return Result;
-}
-
 bool await(const std::function<bool()> &Holds, std::chrono::seconds Patience) {
   const auto End = std::chrono::steady_clock::now() + Patience;
   while (std::chrono::steady_clock::now() < End) {
@@ -113,8 +64,8 @@
       logFile("platform"));
   await(
       [this] {
-        return httpSend("GET", platformUrl() + "/stand-in/counts", {}, "", 1s)
-                   .Status == 200;
+        const auto Answer = Client.get(platformUrl() + "/stand-in/counts", 1s);
+        return Answer && Answer->Status == 200;
       },
       10s);
   for (const vm_plan &Plan : this->Plans)
@@ -227,10 +178,11 @@
                              const std::string &Body) const {
   std::vector<std::string> Headers = MoreHeaders;
   Headers.push_back("Clementine-Caller: " + Caller);
-  return httpSend("POST",
-                  "http://" + hostPort(planOf(Vm).Host, HttpPort) + "/call/" +
-                      Target,
-                  Headers, Body, 30s);
+  return Client
+      .send("POST",
+            "http://" + hostPort(planOf(Vm).Host, HttpPort) + "/call/" + Target,
+            Headers, Body, 30s, http_client::connection::Alone)
+      .value_or(http_result());
 }
 
 int deployment::runsOf(const std::string &Body) const {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -1,7 +1,8 @@
 #ifndef CLEMENTINE_TESTS_PROCESS_DEPLOYMENT_H
 #define CLEMENTINE_TESTS_PROCESS_DEPLOYMENT_H
 
-#include "child_process.h"
+#include "stand_in_http/http_client.h"
+#include "stand_in_process/child_process.h"
 
 #include <chrono>
 #include <functional>
@@ -12,19 +13,10 @@
 
 namespace clementine::test {
 
-/// What came back over HTTP; status 0 when nothing whole did.
-struct http_result {
-  long Status = 0;
-  std::map<std::string, std::string> Headers;
-  std::string Body;
-};
+using stand_in::child_process;
 
-/// Sends one request on a connection of its own.
-/// @param Headers whole lines such as `Idempotency-Key: k`.
-http_result httpSend(const std::string &Method, const std::string &Url,
-                     const std::vector<std::string> &Headers,
-                     const std::string &Body,
-                     std::chrono::milliseconds Timeout);
+/// What came back over HTTP; status 0 when nothing whole did.
+using http_result = stand_in::http_client::answer;
 
 /// One VM: a node and the upstream beside it.
 struct vm_plan {
@@ -74,6 +66,7 @@
   std::string logFile(const std::string &Name) const;
 
   const std::vector<vm_plan> Plans;
+  mutable stand_in::http_client Client;
   std::string Folder;
   std::uint64_t AcceptedVersion = 0;
   std::unique_ptr<child_process> Platform;
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -184,6 +184,16 @@
   REQUIRE(Settings);
   CHECK(Settings.value().StopGrace == 6s);
   CHECK(Settings.value().StoreAddress.Port == 7);
+  CHECK(Settings.value().peerAddress().Port == 5);
+  const auto Advertised =
+      readProxySettings(Good + "[repeats]\nwindow = 5s\n[listen]\n", "f.ini");
+  CHECK(Advertised.has_error());
+  const auto Translated = readProxySettings(
+      std::string(Good).replace(Good.find("[store]"), 0,
+                                "peer_advertised = 127.0.0.1:9\n"),
+      "f.ini");
+  REQUIRE(Translated);
+  CHECK(Translated.value().peerAddress().Port == 9);
 
   const auto Faulty =
       readProxySettings("[node]\nname = n\nzone =\nstrange = 1\n", "f.ini");
--- a/tests/users_process/test_mesh.cpp
+++ b/tests/users_process/test_mesh.cpp
@@ -1,15 +1,15 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
-#include "mesh.h"
+#include "stand_in_users_platform/local_mesh.h"
 
 #include <csignal>
 
 using namespace clementine;
-using namespace clementine::test;
+using namespace clementine::stand_in;
 
 TEST_CASE("the whole path as real processes") {
-  mesh Mesh;
+  local_mesh Mesh;
   REQUIRE(Mesh.awaitReady());
 
   SUBCASE("a request runs through the chain once and comes back whole") {
@@ -50,22 +50,22 @@
   }
 
   SUBCASE("a configuration is in force on every node") {
-    Mesh.configure(2, "");
+    Mesh.configure(2, {});
     for (const std::string &Machine : Mesh.machines())
       CHECK(
           await([&] { return Mesh.call(Machine, "/extra/1").Status == 404; }));
   }
 
   SUBCASE("an outage of the store stops neither requests nor a drain") {
-    Mesh.Store->setOutage(stand_in::kv_store::outage::Silent);
+    Mesh.Store->setOutage(kv_store::outage::Silent);
     REQUIRE(Mesh.instance("archive-east").drain());
     const int Before = Mesh.Runs.by("archive-east-1");
     for (int Call = 0; Call < 10; ++Call)
       CHECK(Mesh.call("front-east", "/archive/1").Status == 200);
     CHECK(Mesh.Runs.by("archive-east-1") == Before);
     Mesh.Store->expireLeases();
-    Mesh.configure(2, "");
-    Mesh.Store->setOutage(stand_in::kv_store::outage::None);
+    Mesh.configure(2, {});
+    Mesh.Store->setOutage(kv_store::outage::None);
     CHECK(await(
         [&] { return Mesh.call("post-west", "/extra/1").Status == 404; }));
     CHECK(await([&] {
@@ -75,7 +75,7 @@
 
   SUBCASE("a store that forgets its history hides no change") {
     Mesh.Store->forgetHistory();
-    Mesh.configure(2, "");
+    Mesh.configure(2, {});
     for (const std::string &Machine : Mesh.machines())
       CHECK(
           await([&] { return Mesh.call(Machine, "/extra/1").Status == 404; }));
