Downstream limiter: a single failure is the instance's own

The limit now falls only once the share of failures shows more than one among successes. The new test failed first (limit 2 after 4 failures in 200). Two tests that began with a single failure now begin with two and also check that the first one changes nothing. Callers repeat such requests themselves, and under overload the repeats feed what is short.

--- a/modules/clementine_proxy/gate/downstream_limiter.cpp
+++ b/modules/clementine_proxy/gate/downstream_limiter.cpp
@@ -20,7 +20,7 @@
   if (HasFailed) {
     LastFailure = Now;
     // What began before the last cut tells nothing about its effect.
-    if (StartedAt >= LastCut)
+    if (StartedAt >= LastCut && FailureShare > Settings.OwnFailureShare)
       cut(Now);
   } else if (IsBinding) {
     grow(Now);
--- a/modules/clementine_proxy/gate/downstream_limiter.h
+++ b/modules/clementine_proxy/gate/downstream_limiter.h
@@ -15,6 +15,9 @@
   double LargestCut = 0.6;
   /// The weight of the newest run in the share of failures.
   double FailureWeight = 0.1;
+  /// Up to this share failures are the instance's own; a single one among
+  /// successes stays below it.
+  double OwnFailureShare = 0.12;
   /// What a success adds to a limit that holds work back, shortly after a cut.
   double Growth = 0.1;
   /// Without a failure the growth doubles once in this time.
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -151,6 +151,8 @@
   for (int Run = 0; Run < 50; ++Run)
     Limiter.started();
   Limiter.ended(true, Now, Now + 1s);
+  CHECK(Limiter.limit() == 100);
+  Limiter.ended(true, Now, Now + 1s);
   const double First = Limiter.limit();
   CHECK(First < 50);
   Limiter.ended(true, Now, Now + 1s);
@@ -159,11 +161,29 @@
   CHECK(Limiter.limit() < First);
 }
 
+TEST_CASE("a single failure among many successes does not lower the limit") {
+  downstream_limiter Limiter({}, 100);
+  instant Now{1000s};
+  for (int Run = 0; Run < 200; ++Run) {
+    Now += 10ms;
+    Limiter.started();
+    Limiter.ended(Run % 50 == 49, Now, Now);
+  }
+  CHECK(Limiter.limit() == doctest::Approx(100));
+  for (int Run = 0; Run < 3; ++Run) {
+    Limiter.started();
+    Limiter.ended(true, Now, Now);
+  }
+  CHECK(Limiter.limit() < 10);
+}
+
 TEST_CASE("a limit that holds work back grows again without failures") {
   downstream_limiter Limiter({}, 100);
   instant Now{1000s};
-  Limiter.started();
-  Limiter.ended(true, Now, Now);
+  for (int Run = 0; Run < 2; ++Run) {
+    Limiter.started();
+    Limiter.ended(true, Now, Now);
+  }
   REQUIRE(Limiter.limit() == doctest::Approx(2));
   for (int Run = 0; Run < 2000; ++Run) {
     Now += 10ms;
