Soak: real node processes under seeded faults, judged from both ends

clementine_soak runs 12 nodes, their instances and the store of the users' platform on loopback with every connection through a proxy, draws faults from a seed (kills, pauses, SIGTERM and SIGHUP in series, drains, crashes, lost answers, connections delayed, cut one way, reset, silenced, outages of the store, lapsed leases, forgotten history, configurations), and checks: at most once, 'not run' is true, whole answers with proof, drains, time limits, stops within the grace, recovery within 15 s, no process that ends by itself.

--- /dev/null
+++ b/extras/clementine_soak/main.cpp
@@ -0,0 +1,55 @@
+/// Runs randomized soaks of the real node processes, one seed after another.
+
+#include "clementine_soak/soak.h"
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+
+#include <tclap/CmdLine.h>
+
+namespace {
+
+int runSoaks(int Count, char **Arguments) {
+  TCLAP::CmdLine Line("Injects faults into a mesh of node processes on "
+                      "loopback and checks what callers and instances see.",
+                      ' ', CLEMENTINE_VERSION);
+  TCLAP::ValueArg<std::uint64_t> Seed("", "seed", "The first seed.", false, 1,
+                                      "NUMBER", Line);
+  TCLAP::ValueArg<unsigned> Seeds("", "seeds", "How many seeds.", false, 1,
+                                  "COUNT", Line);
+  TCLAP::ValueArg<unsigned> Seconds("", "seconds",
+                                    "How long faults are "
+                                    "injected for each seed.",
+                                    false, 20, "SECONDS", Line);
+  TCLAP::ValueArg<unsigned> Zones("", "zones", "Four nodes in each.", false, 3,
+                                  "COUNT", Line);
+  TCLAP::ValueArg<std::string> KeepLogs("", "keep-logs",
+                                        "Where logs of failed seeds are kept.",
+                                        false, "", "FOLDER", Line);
+  Line.parse(Count, Arguments);
+  unsigned Failed = 0;
+  for (unsigned Number = 0; Number < Seeds.getValue(); ++Number) {
+    clementine::soak::soak_settings Settings;
+    Settings.Seed = Seed.getValue() + Number;
+    Settings.Span = std::chrono::seconds(Seconds.getValue());
+    Settings.Zones = Zones.getValue();
+    Settings.KeepLogs = KeepLogs.getValue();
+    if (!clementine::soak::runSoak(Settings).empty())
+      ++Failed;
+  }
+  std::printf("%u of %u seeds broke a promise\n", Failed, Seeds.getValue());
+  return Failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return runSoaks(Count, Arguments);
+  } catch (const std::exception &Error) {
+    std::fprintf(stderr, "clementine_soak: %s\n", Error.what());
+    return 1;
+  }
+}
--- a/extras/stand_in_process/child_process.cpp
+++ b/extras/stand_in_process/child_process.cpp
@@ -49,16 +49,24 @@
   Id = -1;
 }
 
+std::optional<int> child_process::exitCode() {
+  if (!isRunning())
+    return Ended;
+  int Status = 0;
+  if (waitpid(Id, &Status, WNOHANG) != Id)
+    return std::nullopt;
+  Id = -1;
+  Ended = WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
+  return Ended;
+}
+
 int child_process::wait() {
   if (!isRunning())
     return -1;
   const auto End = std::chrono::steady_clock::now() + std::chrono::minutes(1);
   while (std::chrono::steady_clock::now() < End) {
-    int Status = 0;
-    if (waitpid(Id, &Status, WNOHANG) == Id) {
-      Id = -1;
-      return WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
-    }
+    if (const auto Code = exitCode())
+      return *Code;
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   kill();
--- a/extras/stand_in_process/child_process.h
+++ b/extras/stand_in_process/child_process.h
@@ -1,6 +1,7 @@
 #ifndef STAND_IN_PROCESS_CHILD_PROCESS_H
 #define STAND_IN_PROCESS_CHILD_PROCESS_H
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
   /// @returns the exit code; -1 after a signal or a minute.
   int stop();
 
+  /// @returns the exit code of a process that has ended by itself, -1 after a
+  /// signal; nothing while it runs.
+  std::optional<int> exitCode();
+
   /// Ends the process at once.
   void kill();
 
@@ -36,6 +41,8 @@
   int wait();
 
   pid_t Id = -1;
+  /// How it ended, if it did so by itself.
+  int Ended = -1;
 };
 
 } // namespace clementine::stand_in
--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -26,16 +26,19 @@
 } // namespace
 
 void run_counts::add(const std::string &RequestId,
+                     const std::string &Method,
                      const std::string &Instance) {
   const std::lock_guard Lock(Mutex);
-  ++Requests[RequestId];
+  request_runs &Runs = Requests[RequestId];
+  Runs.Method = Method;
+  ++Runs.Count;
   ++Instances[Instance];
 }
 
 int run_counts::of(const std::string &RequestId) const {
   const std::lock_guard Lock(Mutex);
   const auto Found = Requests.find(RequestId);
-  return Found == Requests.end() ? 0 : Found->second;
+  return Found == Requests.end() ? 0 : Found->second.Count;
 }
 
 int run_counts::by(const std::string &Instance) const {
@@ -44,11 +47,11 @@
   return Found == Instances.end() ? 0 : Found->second;
 }
 
-std::set<std::string> run_counts::repeated() const {
+std::set<std::string> run_counts::repeated(const std::string &Method) const {
   const std::lock_guard Lock(Mutex);
   std::set<std::string> Found;
-  for (const auto &[Id, Count] : Requests)
-    if (Count > 1)
+  for (const auto &[Id, Runs] : Requests)
+    if (Runs.Count > 1 && (Method.empty() || Runs.Method == Method))
       Found.insert(Id);
   return Found;
 }
@@ -80,7 +83,7 @@
     --Busy;
     Answer = refusal(Unavailable);
   } else {
-    Runs.add(Id, Settings.Id);
+    Runs.add(Id, Request.Method, Settings.Id);
     std::this_thread::sleep_for(Settings.Work);
     Answer.Status = callOthers(Request) ? Ok : ServerError;
     Answer.Body = Settings.Service + " ran " + Id + " from " +
--- a/extras/stand_in_users_platform/app_instance.h
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -43,17 +43,23 @@
 /// Counts what all instances of a test have run; shared by them.
 class run_counts {
 public:
-  void add(const std::string &RequestId, const std::string &Instance);
+  void add(const std::string &RequestId, const std::string &Method,
+           const std::string &Instance);
   /// @returns how often the request was run.
   int of(const std::string &RequestId) const;
   /// @returns how many requests an instance has run.
   int by(const std::string &Instance) const;
+  /// @param Method counts only requests of this method; all if it is empty.
   /// @returns the requests that were run more than once.
-  std::set<std::string> repeated() const;
+  std::set<std::string> repeated(const std::string &Method = "") const;
 
 private:
   mutable std::mutex Mutex;
-  std::map<std::string, int> Requests;
+  struct request_runs {
+    std::string Method;
+    int Count = 0;
+  };
+  std::map<std::string, request_runs> Requests;
   std::map<std::string, int> Instances;
 };
 
@@ -71,6 +77,8 @@
   /// @returns whether the node has confirmed.
   bool drain();
 
+  const std::string &id() const { return Settings.Id; }
+
   /// Loses the answers of the next runs.
   void loseAnswers(int Count) { LostAnswers = Count; }
 
