--- a/extras/clementine_soak/soak_faults.cpp
+++ b/extras/clementine_soak/soak_faults.cpp
@@ -69,7 +69,10 @@
     }
     std::this_thread::sleep_for(Step);
   }
-  endDue(time::max());
+  while (!Ends.empty()) {
+    endDue(steady::now());
+    std::this_thread::sleep_for(Step);
+  }
 }
 
 void soak_faults::endDue(time Now) {
--- a/extras/clementine_soak/soak_faults.h
+++ b/extras/clementine_soak/soak_faults.h
@@ -24,7 +24,7 @@
   soak_faults(const soak_faults &) = delete;
   soak_faults &operator=(const soak_faults &) = delete;
 
-  /// Injects faults for @p Span, then ends those still in force.
+  /// Injects faults for @p Span, then waits until each has ended in its time.
   void run(std::chrono::seconds Span);
 
   /// @returns the version of the configuration that was put in force last.
