Proxy node: parts of its own for callers, instance and configurations; an earlier end of calls to the store

proxy_node.cpp held four jobs in 540 lines; caller_desk, config_exchange and instance_desk now hold three of them, without a change of what they do. The store is now interrupted 2.2 s before the end, while requests still finish, and these may take until 0.8 s before it.

--- a/extras/clementine_soak/soak.cpp
+++ b/extras/clementine_soak/soak.cpp
@@ -58,12 +58,15 @@
   soak_findings Findings;
   local_mesh::settings MeshSettings;
   MeshSettings.HasProxies = true;
+  MeshSettings.Network = "127.0.12.";
   MeshSettings.Zones.clear();
   for (unsigned Zone = 0; Zone < Settings.Zones; ++Zone)
     MeshSettings.Zones.push_back("zone" + std::to_string(Zone));
   local_mesh Mesh(MeshSettings);
   if (!Mesh.awaitReady()) {
     Findings.add("start", "the mesh is not ready");
+    if (!Settings.KeepLogs.empty())
+      keepLogs(Mesh, Settings);
     return Findings.lines();
   }
   soak_clients Clients(Mesh, Findings, Settings.Seed, Settings.Clients);
--- a/extras/clementine_soak/soak_faults.cpp
+++ b/extras/clementine_soak/soak_faults.cpp
@@ -24,7 +24,7 @@
 constexpr std::chrono::milliseconds DrainBound{2000};
 constexpr std::chrono::milliseconds DrainWatch{800};
 /// The nodes' [node] stop_grace, and the margin of a busy machine.
-constexpr std::chrono::seconds StopBound{8};
+constexpr std::chrono::milliseconds StopBound{6500};
 constexpr int FinishedExit = 0;
 constexpr int UnfinishedExit = 3;
 
--- /dev/null
+++ b/modules/clementine_proxy/node/caller_desk.cpp
@@ -0,0 +1,53 @@
+#include "clementine_proxy/node/caller_desk.h"
+
+#include "clementine_proxy/model/boot_clock.h"
+
+#include <utility>
+
+namespace clementine::proxy {
+
+namespace {
+
+instant now() { return boot_clock().now(); }
+
+} // namespace
+
+caller_desk::caller_desk(forwarder &Forwarder, metrics_registry &Metrics,
+                         std::function<void()> Changed)
+    : Forwarder(Forwarder), Metrics(Metrics), Changed(std::move(Changed)),
+      Latency(Metrics.latencyFor("clementine_request_seconds",
+                                 "Time from a caller's request to its "
+                                 "answer.")) {}
+
+void caller_desk::answer(call_number Call, response Response) {
+  const auto Found = Callers.find(Call);
+  if (Found == Callers.end())
+    return;
+  const waiting_caller Caller = std::move(Found->second);
+  Callers.erase(Found);
+  Latency.record(now() - Caller.Since);
+  Metrics
+      .counterFor("clementine_answers_total", "Answers given to callers.",
+                  {{"status", std::to_string(Response.Status)}})
+      .add();
+  Caller.Respond(std::move(Response));
+}
+
+void caller_desk::handle(request Request, responder Respond,
+                         departure &WhenGone) {
+  const call_number Call = ++LastCall;
+  Callers.emplace(Call, waiting_caller{std::move(Respond), now()});
+  WhenGone = [this, Call] {
+    Callers.erase(Call);
+    Forwarder.callerGone(Call, now());
+    Changed();
+  };
+  Forwarder.begin(Call, std::move(Request), now());
+  Changed();
+}
+
+caller_limits caller_desk::limits() const {
+  return Forwarder.config() ? Forwarder.config()->Limits : caller_limits{};
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/node/instance_desk.cpp
@@ -0,0 +1,46 @@
+#include "clementine_proxy/node/instance_desk.h"
+
+#include <variant>
+
+namespace clementine::proxy {
+
+bool instance_desk::take(const instance_call_content &Content) {
+  if (const auto *Report = std::get_if<instance_report>(&Content))
+    return report(*Report);
+  return leave(std::get<instance_departure>(Content));
+}
+
+bool instance_desk::leave(const instance_departure &Departure) {
+  const bool IsPresent =
+      Book.deregister(Departure.Instance, Departure.StartedAt);
+  Log.info("instance leaves",
+           {{"instance", Departure.Instance}, {"present", IsPresent ? 1 : 0}});
+  Changed(false);
+  return true;
+}
+
+bool instance_desk::report(const instance_report &Report) {
+  const auto Before = Book.current();
+  const report_verdict Verdict = Book.report(Report);
+  const bool IsNewRun = !Before || Before->Instance != Report.Instance ||
+                        Before->StartedAt != Report.StartedAt;
+  if (IsNewRun || Verdict != report_verdict::Accepted ||
+      Before->State != Report.State)
+    Log.info("instance report",
+             {{"verdict", reportVerdictName(Verdict)},
+              {"instance", Report.Instance},
+              {"service", Report.Service},
+              {"address", Report.Address.text()},
+              {"state",
+               Report.State == instance_state::Ready ? "ready" : "draining"},
+              {"started", Report.StartedAt},
+              {"sequence", Report.Sequence},
+              {"slots", Report.Slots}});
+  if (Verdict == report_verdict::Foreign)
+    return false;
+  if (Verdict == report_verdict::Accepted)
+    Changed(IsNewRun);
+  return true;
+}
+
+} // namespace clementine::proxy
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -4,7 +4,10 @@
 #include "clementine_proxy/gate/instance_client.h"
 #include "clementine_proxy/http/http_session.h"
 #include "clementine_proxy/model/boot_clock.h"
+#include "clementine_proxy/node/caller_desk.h"
+#include "clementine_proxy/node/config_exchange.h"
 #include "clementine_proxy/node/critical_duty.h"
+#include "clementine_proxy/node/instance_desk.h"
 #include "clementine_proxy/node/operator_endpoints.h"
 #include "clementine_proxy/node/part_settings.h"
 #include "clementine_proxy/node/store_view.h"
@@ -30,12 +33,12 @@
 /// probes and a margin.
 constexpr std::chrono::milliseconds TurnAwayTime{2600};
 /// How much of the grace is kept for the stop itself.
-constexpr std::chrono::milliseconds StopMargin{1200};
+constexpr std::chrono::milliseconds StopMargin{800};
+/// A call to the store ends up to a second after it is interrupted, so that is
+/// done so long before the end of the grace, while requests still finish.
+constexpr std::chrono::milliseconds StoreMargin{2200};
 constexpr std::chrono::milliseconds StopPoll{20};
 constexpr std::size_t ControlConnections = 64;
-/// A peer that was asked for its configuration has so long before another one
-/// is asked.
-constexpr std::chrono::milliseconds ConfigAskPause{300};
 
 std::uint64_t randomSeed() {
   std::random_device Device;
@@ -56,8 +59,7 @@
 class proxy_node::implementation final : private peer_hub_listener,
                                          private forward_port,
                                          private gate_port,
-                                         private store_listener,
-                                         private http_handler {
+                                         private store_listener {
 public:
   implementation(proxy_settings Given, deployment_adapter &Adapter)
       : Settings(std::move(Given)), Adapter(Adapter), Random(randomSeed()),
@@ -72,11 +74,14 @@
         Forwarder(forwarderSettingsOf(Settings), Adapter.headers(), Directory,
                   *this, Random),
         Peers(Loop, {}, Settings.PeerListen, *this), Wake(Loop),
-        Housekeeping(Loop),
-        Outbound(Loop, Settings.OutboundListen, *this, Settings.MaxConnections),
+        Housekeeping(Loop), Configs(Forwarder, Peers),
+        Callers(Forwarder, Metrics, [this] { schedule(); }),
+        Instances(Book, [this](bool IsNewRun) { instanceChanged(IsNewRun); }),
+        Outbound(Loop, Settings.OutboundListen, Callers,
+                 Settings.MaxConnections),
         ControlHandler(Adapter,
                        [this](const instance_call_content &Content) {
-                         return instanceSaid(Content);
+                         return Instances.take(Content);
                        }),
         ReadyHandler(Adapter, [this] { return isReady(); }),
         MetricsHandler(Metrics), Control(Loop, Settings.ControlListen,
@@ -109,25 +114,21 @@
     Log.info("node is leaving");
     runOnLoop([this] { leave(); });
     const instant End = Begun + Settings.StopGrace - StopMargin;
+    const instant StoreEnd = Begun + Settings.StopGrace - StoreMargin;
     bool IsFinished = false;
     while (!IsFinished && now() < End) {
       std::this_thread::sleep_for(StopPoll);
       runOnLoop([&] { IsFinished = isIdle(); });
+      if (IsFinished || now() >= StoreEnd)
+        Adapter.store().interrupt();
     }
     runOnLoop([this] { close(); });
-    Adapter.store().interrupt();
     Root.stop();
     Log.info("node stopped", {{"finished", IsFinished ? 1 : 0}});
     return IsFinished;
   }
 
 private:
-  /// Who gets the answer to a call, and since when it waits.
-  struct waiting_caller {
-    responder Respond;
-    instant Since;
-  };
-
   static instant now() { return boot_clock().now(); }
 
   template <class Action> void runOnLoop(const Action &Todo) {
@@ -146,22 +147,10 @@
     Root.add(Store.duties());
   }
 
-  void useConfig(const std::shared_ptr<const routing_config> &Config,
-                 std::string_view Source, std::int64_t Revision) {
-    const std::uint64_t Before = Forwarder.configVersion();
-    if (!Forwarder.setConfig(Config))
-      return;
-    Log.info("configuration in force", {{"version", Config->Version},
-                                        {"before", Before},
-                                        {"routes", Config->Routes.size()},
-                                        {"source", Source},
-                                        {"revision", Revision}});
-  }
-
   /// @name store_listener
   void configRead(const std::shared_ptr<const routing_config> &Config,
                   platform_revision Revision) override {
-    useConfig(Config, "store", Revision);
+    Configs.use(Config, "store", Revision);
   }
 
   void recordsListed(const std::vector<node_record> &Records) override {
@@ -177,48 +166,9 @@
   }
 
   /// @name The instance
-  bool instanceSaid(const instance_call_content &Content) {
-    if (const auto *Report = std::get_if<instance_report>(&Content))
-      return instanceReported(*Report);
-    const auto &Departure = std::get<instance_departure>(Content);
-    const bool IsPresent =
-        Book.deregister(Departure.Instance, Departure.StartedAt);
-    Log.info("instance leaves", {{"instance", Departure.Instance},
-                                 {"present", IsPresent ? 1 : 0}});
-    instanceChanged();
-    return true;
-  }
-
-  bool instanceReported(const instance_report &Report) {
-    const auto Before = Book.current();
-    const report_verdict Verdict = Book.report(Report);
-    const bool IsNews = !Before || Verdict != report_verdict::Accepted ||
-                        Before->Instance != Report.Instance ||
-                        Before->State != Report.State ||
-                        Before->StartedAt != Report.StartedAt;
-    if (IsNews)
-      Log.info("instance report",
-               {{"verdict", reportVerdictName(Verdict)},
-                {"instance", Report.Instance},
-                {"service", Report.Service},
-                {"address", Report.Address.text()},
-                {"state",
-                 Report.State == instance_state::Ready ? "ready" : "draining"},
-                {"started", Report.StartedAt},
-                {"sequence", Report.Sequence},
-                {"slots", Report.Slots}});
-    if (Verdict == report_verdict::Foreign)
-      return false;
-    if (Verdict == report_verdict::Accepted) {
-      if (Before && (Before->Instance != Report.Instance ||
-                     Before->StartedAt != Report.StartedAt))
-        Client.dropIdle();
-      instanceChanged();
-    }
-    return true;
-  }
-
-  void instanceChanged() {
+  void instanceChanged(bool IsNewRun) {
+    if (IsNewRun)
+      Client.dropIdle();
     Gate.instanceChanged(now());
     const gate_status Status = visibleStatus();
     if (Status.Instance != AnnouncedInstance) {
@@ -272,7 +222,7 @@
   void peerUp(const std::string &Node, const peer_hello &Hello) override {
     Directory.up(Node, Hello);
     Forwarder.linkUp(Node, Hello.Self.Incarnation, now());
-    askForConfig(Node, Hello.ConfigVersion);
+    Configs.heardOf(Node, Hello.ConfigVersion, now());
     schedule();
   }
 
@@ -285,27 +235,16 @@
     Directory.silent(Node, now());
   }
 
-  /// Asks one node at a time: many tell of a new version at once.
-  void askForConfig(const std::string &Node, std::uint64_t Version) {
-    const instant Now = now();
-    if (Version <= Forwarder.configVersion() ||
-        (Version <= AskedVersion && Now - AskedAt < ConfigAskPause))
-      return;
-    AskedVersion = Version;
-    AskedAt = Now;
-    Peers.sendTo(Node, config_request{});
-  }
-
   void peerReplied(const std::string &Node, peer_message Message) override {
     if (auto *Report = std::get_if<run_report>(&Message)) {
-      askForConfig(Node, Report->ConfigVersion);
+      Configs.heardOf(Node, Report->ConfigVersion, now());
       Forwarder.reported(Node, std::move(*Report), now());
       schedule();
     } else if (const auto *Status = std::get_if<peer_status>(&Message)) {
       Directory.status(Node, Status->Gate);
-      askForConfig(Node, Status->ConfigVersion);
+      Configs.heardOf(Node, Status->ConfigVersion, now());
     } else if (auto *Transfer = std::get_if<config_transfer>(&Message)) {
-      useConfig(
+      Configs.use(
           std::make_shared<const routing_config>(std::move(Transfer->Config)),
           Node, 0);
     }
@@ -319,12 +258,10 @@
       Gate.query(Link, *Query, Now);
     else if (const auto *Cancel = std::get_if<run_cancel>(&Message))
       Gate.cancel(*Cancel, Now);
-    else if (std::holds_alternative<config_request>(Message)) {
-      if (Forwarder.config())
-        Peers.reply(Link, config_transfer{*Forwarder.config()});
-    } else if (const auto *Hello = std::get_if<peer_hello>(&Message)) {
+    else if (std::holds_alternative<config_request>(Message))
+      Configs.asked(Link);
+    else if (const auto *Hello = std::get_if<peer_hello>(&Message))
       learnFrom(*Hello);
-    }
     schedule();
   }
 
@@ -352,17 +289,7 @@
   }
 
   void answer(call_number Call, response Response) override {
-    const auto Found = Callers.find(Call);
-    if (Found == Callers.end())
-      return;
-    const waiting_caller Caller = std::move(Found->second);
-    Callers.erase(Found);
-    Latency.record(now() - Caller.Since);
-    Metrics
-        .counterFor("clementine_answers_total", "Answers given to callers.",
-                    {{"status", std::to_string(Response.Status)}})
-        .add();
-    Caller.Respond(std::move(Response));
+    Callers.answer(Call, std::move(Response));
   }
 
   /// @name gate_port
@@ -387,26 +314,6 @@
     });
   }
 
-  /// @name http_handler for callers
-  void handle(request Request, responder Respond,
-              departure &WhenGone) override {
-    const call_number Call = ++LastCall;
-    Callers.emplace(Call, waiting_caller{std::move(Respond), now()});
-    WhenGone = [this, Call] {
-      Callers.erase(Call);
-      Forwarder.callerGone(Call, now());
-      schedule();
-    };
-    Forwarder.begin(Call, std::move(Request), now());
-    schedule();
-  }
-
-  caller_limits limits() const override {
-    return Forwarder.config() ? Forwarder.config()->Limits : caller_limits{};
-  }
-
-  bool isClosing() const override { return IsLeaving && IsTurnedAway; }
-
   bool isReady() const { return !IsLeaving && Forwarder.config() != nullptr; }
 
   /// @name Time
@@ -468,6 +375,7 @@
   /// taken later could not be finished within the grace.
   void turnAway() {
     IsTurnedAway = true;
+    Callers.beginClosing();
     Outbound.stop();
     Log.info("callers are turned away", {{"active", Forwarder.active()}});
   }
@@ -497,9 +405,6 @@
   counter &DroppedRecords =
       Metrics.counterFor("clementine_log_records_dropped_total",
                          "Log records that found the queue full.");
-  latency_histogram &Latency =
-      Metrics.latencyFor("clementine_request_seconds",
-                         "Time from a caller's request to its answer.");
   asio::io_context Loop{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work{
       Loop.get_executor()};
@@ -512,6 +417,9 @@
   asio::steady_timer Wake;
   std::optional<instant> WakeAt;
   asio::steady_timer Housekeeping;
+  config_exchange Configs;
+  caller_desk Callers;
+  instance_desk Instances;
   http_listener Outbound;
   control_endpoint ControlHandler;
   readiness_endpoint ReadyHandler;
@@ -521,15 +429,10 @@
   http_listener MetricsServer;
   store_view Store;
   supervisor Root;
-  std::unordered_map<call_number, waiting_caller> Callers;
-  call_number LastCall = 0;
   std::string AnnouncedInstance;
   bool IsLeaving = false;
   bool IsTurnedAway = false;
   instant LeavingSince;
-  /// The newest configuration that was asked for at a peer, and when.
-  std::uint64_t AskedVersion = 0;
-  instant AskedAt;
   std::uint64_t ReportedDrops = 0;
 };
 
