--- a/apps/clementinectl/command/command.cpp
+++ b/apps/clementinectl/command/command.cpp
@@ -29,6 +29,9 @@
     command{"callers", "shows owners, importance, limits and use of callers",
             runCallers},
     command{"explain", "shows which section decides about a call", runExplain},
+    command{"explain-request",
+            "joins what the logs of all nodes say of a request",
+            runExplainRequest},
     command{"upstreams", "shows the upstreams that nodes know", runUpstreams},
     command{"nodes", "shows the nodes that nodes know", runNodes},
 };
--- a/apps/clementinectl/command/commands.h
+++ b/apps/clementinectl/command/commands.h
@@ -33,6 +33,9 @@
 exit_code runExplain(const command &Self,
                      const std::vector<std::string> &Arguments,
                      command_context &Context);
+exit_code runExplainRequest(const command &Self,
+                            const std::vector<std::string> &Arguments,
+                            command_context &Context);
 exit_code runUpstreams(const command &Self,
                        const std::vector<std::string> &Arguments,
                        command_context &Context);
--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -25,8 +25,7 @@
 
 } // namespace
 
-void run_counts::add(const std::string &RequestId,
-                     const std::string &Method,
+void run_counts::add(const std::string &RequestId, const std::string &Method,
                      const std::string &Instance) {
   const std::lock_guard Lock(Mutex);
   request_runs &Runs = Requests[RequestId];
--- a/extras/stand_in_users_platform/local_mesh.cpp
+++ b/extras/stand_in_users_platform/local_mesh.cpp
@@ -87,8 +87,7 @@
   for (auto &[Name, Machine] : Machines)
     if (Machine.Node)
       Machine.Node->kill();
-  if (!KeepsFiles)
-    std::filesystem::remove_all(Folder);
+  std::filesystem::remove_all(Folder);
 }
 
 endpoint local_mesh::storeAddress() const {
@@ -200,6 +199,16 @@
   return Machines.at(Machine).Service;
 }
 
+std::string local_mesh::explain(const std::string &RequestId) const {
+  std::vector<std::string> Arguments = {"explain-request", RequestId};
+  for (const std::string &Name : Names)
+    Arguments.push_back(fileOf(Name, ".log"));
+  child_process Tool(std::string(CLEMENTINE_BINARY_DIR) + "/clementinectl",
+                     Arguments, fileOf("explanation", ".log"));
+  await([&] { return Tool.exitCode().has_value(); });
+  return logOf("explanation");
+}
+
 std::string local_mesh::logOf(const std::string &Machine) const {
   std::ostringstream Text;
   Text << std::ifstream(fileOf(Machine, ".log")).rdbuf();
--- a/extras/stand_in_users_platform/local_mesh.h
+++ b/extras/stand_in_users_platform/local_mesh.h
@@ -83,10 +83,11 @@
   app_instance &instance(const std::string &Machine);
   fault_proxy &proxy(const std::string &Machine, place Place);
   std::string logOf(const std::string &Machine) const;
+  /// @returns what `clementinectl explain-request` says of a request.
+  std::string explain(const std::string &RequestId) const;
   const std::string &serviceOf(const std::string &Machine) const;
-  /// Where the processes' logs lie; removed at the end unless keepFiles().
+  /// Where the processes' logs lie; removed at the end.
   const std::string &folder() const { return Folder; }
-  void keepFiles() { KeepsFiles = true; }
 
   const std::vector<std::string> &machines() const { return Names; }
 
@@ -116,7 +117,6 @@
   std::vector<std::string> Names;
   std::map<std::string, machine> Machines;
   std::atomic<unsigned> LastCall{0};
-  bool KeepsFiles = false;
 };
 
 /// Waits until @p Holds or half a minute is over.
--- a/tests/users_process/test_mesh.cpp
+++ b/tests/users_process/test_mesh.cpp
@@ -27,6 +27,15 @@
     const auto Answer = Mesh.call("archive-east", "/book/1", "POST");
     CHECK(Answer.Status == 502);
     CHECK(Mesh.Runs.of(Mesh.lastId()) == 1);
+    const std::string Id = Mesh.lastId();
+    CHECK(await([&] {
+      return Mesh.logOf("archive-east").find("request answered id=" + Id) !=
+             std::string::npos;
+    }));
+    const std::string Text = Mesh.explain(Id);
+    CHECK(Text.find("=> not known whether it ran: the instance broke off") !=
+          std::string::npos);
+    CHECK(Text.find("what archive-east believed then") != std::string::npos);
   }
 
   SUBCASE("an instance that drains gets nothing after its confirmation") {
