Instance book: a departure binds also before the first report

Cause, from its log: the node had restarted at 26.5 s and got the instance's deregistration (present=0) before any report; it confirmed it and forgot it, and a report sent earlier arrived 2.2 s later, made the instance ready, and work ran on it for 0.3 s. The book now keeps the departures of the newest 64 instances, and a report of a run that has left counts as draining. Ruled out: stale records at other nodes (all orders were taken by this gate after 'instance report verdict=accepted'). Open: a departure that was confirmed by the node's process before it restarted is still unknown to the next one.

--- a/modules/clementine_proxy/gate/instance_book.cpp
+++ b/modules/clementine_proxy/gate/instance_book.cpp
@@ -1,5 +1,7 @@
 #include "clementine_proxy/gate/instance_book.h"
 
+#include <algorithm>
+
 namespace clementine::proxy {
 
 std::string_view reportVerdictName(report_verdict Verdict) {
@@ -23,6 +25,8 @@
                          Report.Instance == Current->Instance;
   if (!IsSameRun) {
     Current = Report;
+    if (hasDeparted(Report))
+      Current->State = instance_state::Draining;
     return report_verdict::Accepted;
   }
   if (Report.Sequence < Current->Sequence)
@@ -36,6 +40,7 @@
 
 bool instance_book::deregister(const std::string &Instance,
                                std::int64_t StartedAt) {
+  noteDeparture(Instance, StartedAt);
   if (!Current || Current->Instance != Instance ||
       (StartedAt != 0 && StartedAt < Current->StartedAt))
     return false;
@@ -43,6 +48,27 @@
   return true;
 }
 
+void instance_book::noteDeparture(const std::string &Instance,
+                                  std::int64_t StartedAt) {
+  // Without a start the present run is meant, or else every one of that name.
+  std::int64_t Run = StartedAt;
+  if (Run == 0)
+    Run = Current && Current->Instance == Instance
+              ? Current->StartedAt
+              : std::numeric_limits<std::int64_t>::max();
+  std::int64_t &Last = Departed[Instance];
+  Last = std::max(Last, Run);
+  if (Departed.size() > MostDeparted)
+    Departed.erase(std::min_element(
+        Departed.begin(), Departed.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; }));
+}
+
+bool instance_book::hasDeparted(const instance_report &Report) const {
+  const auto Found = Departed.find(Report.Instance);
+  return Found != Departed.end() && Report.StartedAt <= Found->second;
+}
+
 const instance_report *instance_book::ready() const {
   return Current && Current->State == instance_state::Ready ? &*Current
                                                             : nullptr;
--- a/modules/clementine_proxy/gate/instance_book.h
+++ b/modules/clementine_proxy/gate/instance_book.h
@@ -3,6 +3,8 @@
 
 #include "clementine_proxy/model/instance_record.h"
 
+#include <limits>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -36,7 +38,9 @@
   /// Takes a report.
   report_verdict report(const instance_report &Report);
 
-  /// Takes the word of an instance that it leaves.
+  /// Takes the word of an instance that it leaves. It binds also if nothing
+  /// was heard of that run before: a node that has just started may get it
+  /// ahead of a late report.
   /// @param StartedAt its start; 0 if it does not say.
   /// @returns whether it was the present one.
   bool deregister(const std::string &Instance, std::int64_t StartedAt);
@@ -48,9 +52,16 @@
   const std::optional<instance_report> &current() const { return Current; }
 
 private:
+  static constexpr std::size_t MostDeparted = 64;
+
+  void noteDeparture(const std::string &Instance, std::int64_t StartedAt);
+  bool hasDeparted(const instance_report &Report) const;
+
   const std::string Service;
   const endpoint Address;
   std::optional<instance_report> Current;
+  /// The start of the last run that left, by instance, of the newest ones.
+  std::map<std::string, std::int64_t> Departed;
 };
 
 } // namespace clementine::proxy
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -92,6 +92,26 @@
   CHECK(Book.ready() != nullptr);
 }
 
+TEST_CASE("what leaves before it was ever heard of never takes work") {
+  instance_book Book("svc", {"127.0.0.1", 80});
+  // The node has just started, and the instance's reports come late.
+  CHECK_FALSE(Book.deregister("i-1", 5));
+  CHECK(Book.report(reportOf("i-1", 5, 21)) == report_verdict::Accepted);
+  CHECK(Book.ready() == nullptr);
+  CHECK(Book.report(reportOf("i-1", 6, 1)) == report_verdict::Accepted);
+  CHECK(Book.ready() != nullptr);
+}
+
+TEST_CASE("departures of other instances are bounded and change nothing") {
+  instance_book Book("svc", {"127.0.0.1", 80});
+  for (int Other = 0; Other < 1000; ++Other)
+    CHECK_FALSE(Book.deregister("o-" + std::to_string(Other), Other + 1));
+  CHECK(Book.report(reportOf("o-999", 1000, 1)) == report_verdict::Accepted);
+  CHECK(Book.ready() == nullptr);
+  CHECK(Book.report(reportOf("i-1", 2000, 1)) == report_verdict::Accepted);
+  CHECK(Book.ready() != nullptr);
+}
+
 TEST_CASE("the leaving of an earlier run does not end the present one") {
   instance_book Book("svc", {"127.0.0.1", 80});
   Book.report(reportOf("i-1", 200, 1));
