--- a/apps/clementinectl/command/explain_request.cpp
+++ b/apps/clementinectl/command/explain_request.cpp
@@ -117,6 +117,7 @@
       Last[Line.Sentence + About + std::string(Line.field("duty"))] = &Line;
   }
   std::vector<const log_line *> Found;
+  Found.reserve(Last.size());
   for (const auto &[Key, Line] : Last)
     Found.push_back(Line);
   std::sort(
--- a/extras/clementine_soak/main.cpp
+++ b/extras/clementine_soak/main.cpp
@@ -24,6 +24,9 @@
                                     false, 20, "SECONDS", Line);
   TCLAP::ValueArg<unsigned> Zones("", "zones", "Four nodes in each.", false, 3,
                                   "COUNT", Line);
+  TCLAP::ValueArg<std::string> Network(
+      "", "network", "The first three numbers of every address.", false,
+      "127.0.13.", "NUMBERS", Line);
   TCLAP::ValueArg<std::string> KeepLogs("", "keep-logs",
                                         "Where logs of failed seeds are kept.",
                                         false, "", "FOLDER", Line);
@@ -34,6 +37,7 @@
     Settings.Seed = Seed.getValue() + Number;
     Settings.Span = std::chrono::seconds(Seconds.getValue());
     Settings.Zones = Zones.getValue();
+    Settings.Network = Network.getValue();
     Settings.KeepLogs = KeepLogs.getValue();
     if (!clementine::soak::runSoak(Settings).empty())
       ++Failed;
--- a/extras/clementine_soak/soak.cpp
+++ b/extras/clementine_soak/soak.cpp
@@ -58,7 +58,7 @@
   soak_findings Findings;
   local_mesh::settings MeshSettings;
   MeshSettings.HasProxies = true;
-  MeshSettings.Network = "127.0.12.";
+  MeshSettings.Network = Settings.Network;
   MeshSettings.Zones.clear();
   for (unsigned Zone = 0; Zone < Settings.Zones; ++Zone)
     MeshSettings.Zones.push_back("zone" + std::to_string(Zone));
--- a/extras/clementine_soak/soak.h
+++ b/extras/clementine_soak/soak.h
@@ -15,6 +15,8 @@
   std::chrono::seconds Span{20};
   unsigned Zones = 3;
   unsigned Clients = 6;
+  /// The first three numbers of every address, so that two soaks can run.
+  std::string Network = "127.0.12.";
   /// Where the logs of a failed run are kept, if anywhere.
   std::string KeepLogs;
 };
