--- a/extras/stand_in_process/child_process.cpp
+++ b/extras/stand_in_process/child_process.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -22,6 +23,8 @@
   Id = fork();
   if (Id != 0)
     return;
+  // It ends with the thread that started it, also when that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int Log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
--- a/extras/stand_in_process/child_process.h
+++ b/extras/stand_in_process/child_process.h
@@ -9,7 +9,7 @@
 
 namespace clementine::stand_in {
 
-/// A process that this one started, and ends at the latest with itself.
+/// A process that ends at the latest with the thread that started it.
 class child_process {
 public:
   /// @param Program the path of the program.
