Lint: names that Boost.Log asks for, and proxies set one by one

clang-tidy took the array of three unique pointers for a leak (a false alarm of the analyzer on the initializer list); assigning them in a loop says the same.

--- a/extras/stand_in_users_platform/local_mesh.cpp
+++ b/extras/stand_in_users_platform/local_mesh.cpp
@@ -101,8 +101,11 @@
                  static_cast<std::uint16_t>(Target.Port + ProxyOffset)},
         Target);
   };
-  Machine.Proxies = {Through({Machine.Host, PeerPort}), Through(storeAddress()),
-                     Through({Machine.Host, InstancePort})};
+  const std::array<endpoint, 3> Targets = {
+      endpoint{Machine.Host, PeerPort}, storeAddress(),
+      endpoint{Machine.Host, InstancePort}};
+  for (std::size_t Place = 0; Place < Targets.size(); ++Place)
+    Machine.Proxies.at(Place) = Through(Targets.at(Place));
 }
 
 endpoint local_mesh::reachableAt(const machine &Machine,
--- a/modules/clementine_telemetry/logs/log_output.cpp
+++ b/modules/clementine_telemetry/logs/log_output.cpp
@@ -28,6 +28,7 @@
 /// Drops the record that found the queue full, and counts it. Boost.Log asks
 /// for these three functions by name.
 struct count_on_overflow {
+  // NOLINTBEGIN(readability-identifier-naming): the names are Boost.Log's.
   template <class Lock>
   static bool on_overflow(const boost::log::record_view & /*Record*/,
                           Lock & /*Held*/) {
@@ -36,6 +37,7 @@
   }
   static void on_queue_space_available() {}
   static void interrupt() {}
+  // NOLINTEND(readability-identifier-naming)
 };
 
 using log_sink = sinks::asynchronous_sink<
