Proxy stop: answer requests of connections that were not yet accepted

Cause: http_listener::stop() closed the acceptor while connections stood in its queue, whose clients may have sent requests already: the kernel resets them. It also closed a kept connection whose next request was in the socket but not read.

Change: the listener accepts what is queued before it closes the acceptor, waits up to 500 ms for the first request of so new a connection, and does not count a connection with unread input as idle.

Test: "a request that waits in the accept queue when the listener stops is answered" failed before (0 of 3 requests reached the handler), passes now.

--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -106,6 +106,7 @@
 }
 
 void http_session::accept(request Request) {
+  HasAcceptedRequest = true;
   auto Exchange = std::make_shared<exchange>();
   Exchange->KeepsAlive = Request.KeepsAlive;
   Exchange->IsForHead = Request.Method == "HEAD";
@@ -205,10 +206,18 @@
 }
 
 void http_session::closeIfIdle() {
-  if (!isBusy() && !Reader.hasPartialRequest())
+  boost::system::error_code Error;
+  const bool HasUnreadInput = Socket.available(Error) > 0 && !Error;
+  if (!isBusy() && !isAwaitingFirstRequest() && !Reader.hasPartialRequest() &&
+      !HasUnreadInput)
     close();
 }
 
+bool http_session::isAwaitingFirstRequest() const {
+  return !HasAcceptedRequest && !IsClosed &&
+         now() - IdleSince < FirstRequestGrace;
+}
+
 void http_session::scheduleTimeoutCheck() {
   Timer.expires_after(TimeoutCheckInterval);
   Timer.async_wait([Session = weak_from_this()](const auto &Error) {
@@ -257,15 +266,19 @@
   accept();
 }
 
+void http_listener::addSession(tcp::socket Socket) {
+  auto Session = std::make_shared<http_session>(std::move(Socket), Handler);
+  Sessions.push_back(Session);
+  Session->start();
+}
+
 void http_listener::accept() {
   Acceptor.async_accept([this](const auto &Error, tcp::socket Socket) {
     if (Error == asio::error::operation_aborted || !Acceptor.is_open())
       return;
     std::erase_if(Sessions, [](const auto &Each) { return Each.expired(); });
     if (!Error && Sessions.size() < MaxConnections) {
-      auto Session = std::make_shared<http_session>(std::move(Socket), Handler);
-      Sessions.push_back(Session);
-      Session->start();
+      addSession(std::move(Socket));
       return accept();
     }
     log().warning(
@@ -279,7 +292,23 @@
   });
 }
 
+/// Closing the acceptor resets the connections in its queue, whose clients may
+/// have sent requests already.
+void http_listener::acceptQueued() {
+  boost::system::error_code Error;
+  Acceptor.cancel(Error);
+  Acceptor.non_blocking(true, Error);
+  while (!Error && Sessions.size() < MaxConnections) {
+    tcp::socket Socket(Loop);
+    Acceptor.accept(Socket, Error);
+    if (!Error)
+      addSession(std::move(Socket));
+  }
+}
+
 void http_listener::stop() {
+  if (Acceptor.is_open())
+    acceptQueued();
   boost::system::error_code Ignored; // Accepting ends either way.
   Acceptor.close(Ignored);
   AcceptRetryTimer.cancel();
@@ -291,7 +320,7 @@
 bool http_listener::isBusy() const {
   return std::any_of(Sessions.begin(), Sessions.end(), [](const auto &Each) {
     const auto Session = Each.lock();
-    return Session && Session->isBusy();
+    return Session && (Session->isBusy() || Session->isAwaitingFirstRequest());
   });
 }
 
--- a/modules/clementine_proxy/http/http_session.h
+++ b/modules/clementine_proxy/http/http_session.h
@@ -50,6 +50,9 @@
   static constexpr std::size_t MaxUnsentBytes = std::size_t{1} << 20U;
   /// A write that takes longer than this closes the connection.
   static constexpr std::chrono::seconds WriteTimeout{10};
+  /// How long the first request of a new connection is waited for when the
+  /// listener stops: the client may have sent it already.
+  static constexpr std::chrono::milliseconds FirstRequestGrace{500};
 
   http_session(boost::asio::ip::tcp::socket Socket, http_handler &Handler);
 
@@ -57,10 +60,14 @@
   http_session &operator=(const http_session &) = delete;
 
   void start();
-  /// Closes the connection if no request is in progress or partly read.
+  /// Closes the connection if no request is in progress, partly read or waiting
+  /// to be read, and none is expected as the first one of a new connection.
   void closeIfIdle();
   /// @returns whether a request is in progress or a response is being written.
   bool isBusy() const { return !Exchanges.empty() || IsWriting; }
+  /// @returns whether the connection is so new that its first request may still
+  /// be on its way.
+  bool isAwaitingFirstRequest() const;
 
 private:
   struct exchange {
@@ -102,6 +109,7 @@
   bool IsEnding = false;
   bool IsClosed = false;
   bool HasSentContinue = false;
+  bool HasAcceptedRequest = false;
 };
 
 /// Accepts client connections on one address.
@@ -115,13 +123,16 @@
 
   /// @throws boost::system::system_error when the address cannot be bound.
   void start();
-  /// Stops accepting and closes idle connections.
+  /// Accepts the connections that wait to be accepted, then no more, and closes
+  /// idle ones.
   void stop();
-  /// @returns whether any session is busy, see http_session::isBusy().
+  /// @returns whether any session is busy or awaits its first request.
   bool isBusy() const;
 
 private:
   void accept();
+  void acceptQueued();
+  void addSession(boost::asio::ip::tcp::socket Socket);
 
   boost::asio::io_context &Loop;
   const endpoint Listen;
--- a/tests/proxy/test_session.cpp
+++ b/tests/proxy/test_session.cpp
@@ -40,6 +40,15 @@
   bool Closes = false;
 };
 
+/// @returns a port of the loopback interface that is free at the moment.
+std::uint16_t freePort() {
+  asio::io_context Loop;
+  return tcp::acceptor(Loop,
+                       tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+      .local_endpoint()
+      .port();
+}
+
 /// A session and a client connected to it.
 struct fixture {
   fixture() {
@@ -153,3 +162,57 @@
   CHECK(Test.receive("400 Bad Request").find("Connection: close") !=
         std::string::npos);
 }
+
+TEST_CASE("a request that waits in the accept queue when the listener stops is "
+          "answered") {
+  asio::io_context Loop;
+  deferred_handler Handler;
+  Handler.Closes = true;
+  const endpoint Address{"127.0.0.1", freePort()};
+  http_listener Listener(Loop, Address, Handler, 100);
+  Listener.start();
+  std::vector<tcp::socket> Clients;
+  for (int Number = 0; Number < 3; ++Number) {
+    Clients.emplace_back(Loop);
+    Clients.back().connect(
+        {asio::ip::make_address(Address.Host), Address.Port});
+    asio::write(Clients.back(), asio::buffer(fixture::requestFor("/queued")));
+  }
+  Listener.stop();
+  for (int Step = 0; Step < 1000 && Handler.Requests.size() < 3; ++Step) {
+    Loop.restart();
+    Loop.run_one_for(std::chrono::milliseconds(1));
+  }
+  REQUIRE(Handler.Requests.size() == 3);
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    Handler.respond(Index);
+  Loop.run_for(std::chrono::milliseconds(50));
+  for (tcp::socket &Client : Clients) {
+    REQUIRE(Client.available() > 0);
+    std::string Bytes(Client.available(), '\0');
+    Client.read_some(asio::buffer(Bytes));
+    CHECK(Bytes.find("200 OK") != std::string::npos);
+    CHECK(Bytes.find("Connection: close") != std::string::npos);
+  }
+  tcp::socket Late(Loop);
+  boost::system::error_code Error;
+  Late.connect({asio::ip::make_address(Address.Host), Address.Port}, Error);
+  CHECK(Error);
+}
+
+TEST_CASE("a request that a kept connection has sent but nobody has read is "
+          "answered when the listener stops") {
+  fixture Test;
+  Test.send(fixture::requestFor("/a"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+  Test.Handler.respond(0);
+  Test.receive("/a");
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(10));
+  Test.send(fixture::requestFor("/b"));
+  Test.Handler.Closes = true;
+  Test.Session->closeIfIdle();
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 2; }));
+  Test.Handler.respond(1);
+  CHECK(Test.receive("/b").find("Connection: close") != std::string::npos);
+}
