Proxy: bound answers without end; refuse frames and records no node can send

Cause, by tests that failed on: - An instance that sends interim answers, answers to other requests, chunk extensions or trailer fields without end was read until the deadline of the run. Chunk extensions and trailers are kept whole until their line ends (Boost.Beast bounds the header only), so that the node's memory grew at the speed of the link. Bodies without end were bounded each (64 MiB), not together. - A record or hello whose address is no IP address threw out of the event loop (peer_hub::dial), which after its restarts ends the process. - A frame with an enumerator that does not exist, a configuration without a service or weight, a time that overflows, or an answer without a status was taken as it came.

Change: message_reader bounds framing in proportion to the body; instance_client bounds answers to other requests (16), one body (16 MiB) and all unfinished answers together (32 MiB; the largest is aborted); decodeFrame() refuses what no node can have sent; a record needs an IP address and a port, and dialling a malformed address fails its link only.

--- a/modules/clementine_proxy/gate/instance_client.cpp
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -80,6 +80,7 @@
   void reuse(instance_call Next) {
     Call = std::move(Next);
     IsReused = true;
+    ForeignResponses = 0;
     send();
   }
 
@@ -103,6 +104,17 @@
     Socket.close(Ignored);
   }
 
+  /// @returns how many bytes of its unfinished response it holds.
+  std::uint64_t bufferedBytes() const { return BufferedBytes; }
+
+  /// Ends the call because its response holds too much of the memory that all
+  /// responses share.
+  void endForMemory() {
+    log().warning("response aborted: buffered responses exceed their limit",
+                  {{"id", RequestId}, {"bytes", BufferedBytes}});
+    end(run_outcome::Unknown, run_cause::NoValidResponse);
+  }
+
   const instance_call &call() const { return Call; }
   bool isUsableAt(instant Now) const { return Now < UsableUntil; }
   instant idleSince() const { return IdleSince; }
@@ -160,9 +172,17 @@
       return answered(Reader->take(), Error == asio::error::eof);
     if (Error || Progress == read_progress::Failed)
       return end(run_outcome::Unknown, run_cause::NoValidResponse);
+    setBufferedBytes(Input.size() + Reader->bodyBytes());
+    if (Client.abortsLargestResponse(*this))
+      return;
     read();
   }
 
+  void setBufferedBytes(std::uint64_t Count) {
+    const std::uint64_t Before = std::exchange(BufferedBytes, Count);
+    Client.bufferedBytesChanged(Before, Count);
+  }
+
   read_progress endOfInput() {
     const read_progress Progress = Reader->read(Input);
     return Progress == read_progress::Incomplete ? Reader->readEnd() : Progress;
@@ -174,7 +194,8 @@
       log().info("answer to another request",
                  {{"id", RequestId}, {"found", EchoedId.value_or("")}});
       // A response to an earlier request may precede the expected one.
-      if (EchoedId && !HasEnded && Answer.KeepsAlive)
+      if (EchoedId && !HasEnded && Answer.KeepsAlive &&
+          ++ForeignResponses <= Client.Settings.MaxForeignResponses)
         return readDone({});
       return end(run_outcome::Unknown, run_cause::NoValidResponse);
     }
@@ -215,6 +236,7 @@
   }
 
   void finish(instance_result Result) {
+    setBufferedBytes(0);
     Timer.cancel();
     IdleSince = now();
     Output.clear();
@@ -242,6 +264,8 @@
   std::string Output;
   std::string Input;
   std::optional<response_reader> Reader;
+  std::uint64_t BufferedBytes = 0;
+  std::size_t ForeignResponses = 0;
   instant UsableUntil;
   instant IdleSince;
   bool IsReused = false;
@@ -308,6 +332,25 @@
   Busy.erase(Found);
 }
 
+void instance_client::bufferedBytesChanged(std::uint64_t Before,
+                                           std::uint64_t After) {
+  BufferedBytes = BufferedBytes + After - Before;
+  MostBufferedBytes = std::max(MostBufferedBytes, BufferedBytes);
+}
+
+bool instance_client::abortsLargestResponse(
+    const instance_connection &Reading) {
+  if (BufferedBytes + ReadChunkBytes <= Settings.MaxBufferedBytes)
+    return false;
+  const auto Largest = std::max_element(
+      Busy.begin(), Busy.end(), [](const auto &A, const auto &B) {
+        return A.second->bufferedBytes() < B.second->bufferedBytes();
+      });
+  const auto Connection = Largest->second;
+  Connection->endForMemory();
+  return Connection.get() == &Reading;
+}
+
 void instance_client::dropIdle() {
   for (const auto &Connection : Idle)
     Connection->close();
--- a/modules/clementine_proxy/gate/instance_client.h
+++ b/modules/clementine_proxy/gate/instance_client.h
@@ -31,7 +31,13 @@
   /// How long after the run's deadline to wait for the response.
   duration AnswerGrace = std::chrono::milliseconds(60);
   /// The maximum size of a response body in bytes.
-  std::uint64_t MaxBody = std::uint64_t{64} << 20U;
+  std::uint64_t MaxBody = std::uint64_t{16} << 20U;
+  /// The maximum number of bytes that the unfinished responses of all runs hold
+  /// together. Above it the largest one is aborted.
+  std::uint64_t MaxBufferedBytes = std::uint64_t{32} << 20U;
+  /// The maximum number of responses to other requests that may precede the
+  /// expected one on its connection.
+  std::size_t MaxForeignResponses = 16;
 };
 
 /// A connection to the instance, which carries one call at a time.
@@ -61,12 +67,20 @@
   void dropIdle();
   void stop();
 
+  /// @returns the most bytes that unfinished responses have held together.
+  std::uint64_t mostBufferedBytes() const { return MostBufferedBytes; }
+
 private:
   friend class instance_connection;
 
   std::shared_ptr<instance_connection> takeIdle(bool MustBeRecentlyUsed);
   void ended(const std::shared_ptr<instance_connection> &Connection,
              instance_result Result, bool KeepsConnection);
+  void bufferedBytesChanged(std::uint64_t Before, std::uint64_t After);
+  /// Ends the run with the largest unfinished response if all of them together
+  /// leave no room for another read.
+  /// @returns whether that was the run of @p Reading.
+  bool abortsLargestResponse(const instance_connection &Reading);
 
   boost::asio::io_context &Loop;
   const instance_client_settings Settings;
@@ -74,6 +88,8 @@
   const listener Listener;
   std::deque<std::shared_ptr<instance_connection>> Idle;
   std::map<attempt_id, std::shared_ptr<instance_connection>> Busy;
+  std::uint64_t BufferedBytes = 0;
+  std::uint64_t MostBufferedBytes = 0;
 };
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -16,11 +16,25 @@
 
 constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
+/// Bytes of chunk sizes and line ends allowed for each byte of a body, enough
+/// for a body that is sent in chunks of one byte.
+constexpr std::uint64_t FramingBytesPerBodyByte = 8;
+
+/// Whether a message has more bytes around its body (start line, header fields,
+/// chunk sizes and extensions, trailer fields) than any real sender needs.
+bool hasExcessiveFraming(std::uint64_t ConsumedBytes, std::uint64_t BodyBytes,
+                         std::uint64_t MaxHeader) {
+  const std::uint64_t Allowed =
+      2 * MaxHeader + (1 + FramingBytesPerBodyByte) * BodyBytes;
+  return ConsumedBytes > Allowed;
+}
 
 /// Feeds @p Buffer to the parser @p Target and removes the consumed bytes.
 /// @returns the last error; need_more for an incomplete message.
+/// @param ConsumedBytes increased by the number of consumed bytes.
 template <class Parser>
-boost::beast::error_code consume(Parser &Target, std::string &Buffer) {
+boost::beast::error_code consume(Parser &Target, std::string &Buffer,
+                                 std::uint64_t &ConsumedBytes) {
   std::size_t Offset = 0;
   boost::beast::error_code Error;
   while (!Target.is_done() && Offset < Buffer.size()) {
@@ -32,6 +46,7 @@
       break;
   }
   Buffer.erase(0, Offset);
+  ConsumedBytes += Offset;
   return Error;
 }
 
@@ -88,6 +103,7 @@
       MaxHeader, std::numeric_limits<std::uint32_t>::max())));
   Parser->Beast.body_limit(MaxBody);
   HasPartialRequest = false;
+  ConsumedBytes = 0;
 }
 
 read_progress request_reader::fail(read_fault Reason) {
@@ -101,12 +117,15 @@
   if (Buffer.empty() && !Parser->Beast.is_done())
     return read_progress::Incomplete;
   HasPartialRequest = true;
-  const auto Error = consume(Parser->Beast, Buffer);
+  const auto Error = consume(Parser->Beast, Buffer, ConsumedBytes);
   if (Error && Error != http::error::need_more)
     return fail(faultOf(Error));
-  if (!Parser->Beast.is_header_done() && Buffer.size() > MaxHeader)
+  const bool IsDone = Parser->Beast.is_done();
+  if ((!IsDone && Buffer.size() > MaxHeader) ||
+      hasExcessiveFraming(ConsumedBytes, Parser->Beast.get().body().size(),
+                          MaxHeader))
     return fail(read_fault::HeaderTooLarge);
-  if (!Parser->Beast.is_done())
+  if (!IsDone)
     return read_progress::Incomplete;
   return isUnambiguous() ? read_progress::Complete
                          : fail(read_fault::Malformed);
@@ -177,10 +196,14 @@
   if (Fault != read_fault::None)
     return read_progress::Failed;
   while (!Buffer.empty()) {
-    const auto Error = consume(Parser->Beast, Buffer);
+    const auto Error = consume(Parser->Beast, Buffer, ConsumedBytes);
     if (Error && Error != http::error::need_more)
       return fail(faultOf(Error));
-    if (!Parser->Beast.is_done())
+    const bool IsDone = Parser->Beast.is_done();
+    if ((!IsDone && Buffer.size() > MaxResponseHeaderBytes) ||
+        hasExcessiveFraming(ConsumedBytes, bodyBytes(), MaxResponseHeaderBytes))
+      return fail(read_fault::HeaderTooLarge);
+    if (!IsDone)
       return read_progress::Incomplete;
     if (Parser->Beast.get().result_int() >= FirstFinalStatus)
       return read_progress::Complete;
@@ -201,6 +224,10 @@
   return read_progress::Complete;
 }
 
+std::size_t response_reader::bodyBytes() const {
+  return Parser->Beast.get().body().size();
+}
+
 response response_reader::take() {
   assert(Parser->Beast.is_done() && "the response is incomplete");
   auto Message = Parser->Beast.release();
@@ -210,6 +237,7 @@
   Result.KeepsAlive = Message.keep_alive();
   Result.Body = std::move(Message.body());
   reset();
+  ConsumedBytes = 0;
   return Result;
 }
 
--- a/modules/clementine_proxy/http/message_reader.h
+++ b/modules/clementine_proxy/http/message_reader.h
@@ -24,7 +24,7 @@
   None,
   /// The message violates the protocol, or its framing is ambiguous.
   Malformed,
-  /// The header exceeds its size limit.
+  /// The header, or what frames the body, exceeds its size limit.
   HeaderTooLarge,
   /// The body exceeds its size limit.
   BodyTooLarge,
@@ -71,11 +71,15 @@
   const std::uint64_t MaxHeader;
   const std::uint64_t MaxBody;
   std::unique_ptr<parser> Parser;
+  /// Bytes of the current request that were consumed so far.
+  std::uint64_t ConsumedBytes = 0;
   bool HasPartialRequest = false;
   read_fault Fault = read_fault::None;
 };
 
 /// Reads responses from a growing buffer. Interim responses (1xx) are skipped.
+/// A response whose header, chunk framing, trailer or interim responses never
+/// end is rejected at a limit.
 class response_reader {
 public:
   /// @param IsForHead whether the response has no body because it answers HEAD.
@@ -94,6 +98,8 @@
   read_progress readEnd();
 
   read_fault fault() const { return Fault; }
+  /// @returns the number of bytes of the body that have been read so far.
+  std::size_t bodyBytes() const;
 
   /// Returns the complete response and prepares to read the next one.
   response take();
@@ -107,6 +113,9 @@
   const bool IsForHead;
   const std::uint64_t MaxBody;
   std::unique_ptr<parser> Parser;
+  /// Bytes of the current response and of the interim responses before it that
+  /// were consumed so far.
+  std::uint64_t ConsumedBytes = 0;
   read_fault Fault = read_fault::None;
 };
 
--- a/modules/clementine_proxy/model/instance_record.cpp
+++ b/modules/clementine_proxy/model/instance_record.cpp
@@ -1,11 +1,22 @@
 #include "clementine_proxy/model/instance_record.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <nlohmann/json.hpp>
 
 namespace clementine::proxy {
 
 using nlohmann::json;
 
+namespace {
+
+bool isAddress(const std::string &Host) {
+  boost::system::error_code Error;
+  boost::asio::ip::make_address(Host, Error);
+  return !Error;
+}
+
+} // namespace
+
 std::string node_record::encoded() const {
   json Record{{"node", Node},         {"incarnation", Incarnation},
               {"zone", Zone},         {"host", Peer.Host},
@@ -28,6 +39,8 @@
     Record.Zone = Parsed.at("zone").get<std::string>();
     Record.Peer = {Parsed.at("host").get<std::string>(),
                    Parsed.at("port").get<std::uint16_t>()};
+    if (!isAddress(Record.Peer.Host) || Record.Peer.Port == 0)
+      return std::nullopt;
     Record.Service = Parsed.at("service").get<std::string>();
     Record.Instance = Parsed.at("instance").get<std::string>();
     Record.Slots = Parsed.at("slots").get<std::uint32_t>();
--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -4,6 +4,7 @@
 #include "clementine_telemetry/clementine_telemetry.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 namespace clementine::proxy {
 
@@ -98,11 +99,20 @@
   Entry.DialledAt = now();
   auto Socket = std::make_shared<tcp::socket>(Loop);
   Entry.Connecting = Socket;
-  const tcp::endpoint Address(asio::ip::make_address(Entry.Address.Host),
-                              Entry.Address.Port);
-  Socket->async_connect(Address, [this, Node, Socket](const auto &Error) {
-    handleConnect(Node, Error, Socket);
-  });
+  boost::system::error_code Malformed;
+  const auto Host = asio::ip::make_address(Entry.Address.Host, Malformed);
+  if (Malformed) {
+    log().warning("address of a node is no IP address",
+                  {{"peer", Node}, {"address", Entry.Address.text()}});
+    asio::post(Loop, [this, Node, Malformed, Socket] {
+      handleConnect(Node, Malformed, Socket);
+    });
+    return;
+  }
+  Socket->async_connect(tcp::endpoint(Host, Entry.Address.Port),
+                        [this, Node, Socket](const auto &Error) {
+                          handleConnect(Node, Error, Socket);
+                        });
 }
 
 void peer_hub::handleConnect(const std::string &Node,
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -7,6 +7,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/variant.hpp>
 
+#include <algorithm>
 #include <cstring>
 #include <istream>
 #include <ostream>
@@ -197,6 +198,54 @@
   return "invalid";
 }
 
+namespace {
+
+/// Bound on every time in a message; a longer one could overflow a calculation.
+constexpr duration MaxTime = std::chrono::hours(24);
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 999;
+
+bool isBounded(duration Time) { return Time >= duration(0) && Time <= MaxTime; }
+
+/// @name isPlausible
+/// Whether a node can have sent the message: cereal checks the form of a frame
+/// only.
+template <class Message> bool isPlausible(const Message &) { return true; }
+
+bool isPlausible(const attempt_request &Message) {
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  const auto Limit = duration_cast<microseconds>(MaxTime).count();
+  return Message.TimeLeftMicroseconds >= -Limit &&
+         Message.TimeLeftMicroseconds <= Limit;
+}
+
+bool isPlausible(const run_report &Message) {
+  const unsigned Status = Message.Response.Status;
+  return Message.Outcome <= run_outcome::Unknown &&
+         Message.Cause <= run_cause::UnknownAttempt &&
+         (Message.Outcome != run_outcome::Completed ||
+          (Status >= MinStatus && Status <= MaxStatus));
+}
+
+bool isPlausible(const route &Route) {
+  const auto HasWeight = [](const weighted_service &Each) {
+    return Each.Weight > 0;
+  };
+  return isBounded(Route.Timeout) && isBounded(Route.LatencyObjective) &&
+         std::ranges::any_of(Route.Services, HasWeight);
+}
+
+bool isPlausible(const config_transfer &Message) {
+  const caller_limits &Limits = Message.Config.Limits;
+  return isBounded(Limits.HeaderTimeout) && isBounded(Limits.IdleTimeout) &&
+         std::ranges::all_of(Message.Config.Routes, [](const route &Each) {
+           return isPlausible(Each);
+         });
+}
+
+} // namespace
+
 std::string encodeFrame(const peer_message &Message) {
   std::string Frame(LengthBytes, '\0');
   {
@@ -231,6 +280,8 @@
   } catch (const std::exception &) {
     return frame_progress::Malformed;
   }
+  if (!std::visit([](const auto &Each) { return isPlausible(Each); }, Message))
+    return frame_progress::Malformed;
   Offset += LengthBytes + Length;
   return frame_progress::Complete;
 }
--- a/tests/proxy/test_messages.cpp
+++ b/tests/proxy/test_messages.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
+using namespace clementine;
 using namespace clementine::proxy;
 
 namespace {
@@ -91,6 +94,31 @@
   CHECK(Interrupted.fault() == read_fault::Truncated);
 }
 
+TEST_CASE("framing of a response that never ends is refused at a limit") {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char *Start : {"5;e=", "0\r\nX-Trailer: "}) {
+    CAPTURE(Start);
+    response_reader Reader(false, MaxBody);
+    std::string Buffer = Head + Start;
+    std::size_t Fed = 0;
+    while (Reader.read(Buffer) == read_progress::Incomplete &&
+           Fed < 1024 * 1024) {
+      Buffer += std::string(4096, 'x');
+      Fed += 4096;
+    }
+    CHECK(Reader.fault() == read_fault::HeaderTooLarge);
+  }
+  response_reader Interim(false, MaxBody);
+  read_progress Progress = read_progress::Incomplete;
+  for (int Count = 0; Count < 10000 && Progress == read_progress::Incomplete;
+       ++Count) {
+    std::string Buffer = "HTTP/1.1 102 Processing\r\n\r\n";
+    Progress = Interim.read(Buffer);
+  }
+  CHECK(Progress == read_progress::Failed);
+}
+
 TEST_CASE("hop-by-hop headers are not forwarded") {
   header_list Headers = {{"connection", "x-hop, close"}, {"X-Hop", "1"},
                          {"Keep-Alive", "timeout=5"},    {"X-End", "2"},
@@ -146,3 +174,45 @@
     CHECK(From <= Damaged.size());
   }
 }
+
+TEST_CASE("a frame whose fields no node can have sent is malformed") {
+  const auto ProgressOf = [](const peer_message &Message) {
+    const std::string Frame = encodeFrame(Message);
+    std::size_t Offset = 0;
+    peer_message Decoded;
+    return decodeFrame(Frame, Offset, Decoded);
+  };
+  run_report Report;
+  Report.Outcome = static_cast<run_outcome>(9);
+  CHECK(ProgressOf(Report) == frame_progress::Malformed);
+  Report.Outcome = run_outcome::Completed;
+  CHECK(ProgressOf(Report) == frame_progress::Malformed); // No status.
+  Report.Response.Status = 200;
+  CHECK(ProgressOf(Report) == frame_progress::Complete);
+  Report.Cause = static_cast<run_cause>(200);
+  CHECK(ProgressOf(Report) == frame_progress::Malformed);
+  attempt_request AttemptRequest;
+  AttemptRequest.TimeLeftMicroseconds =
+      std::numeric_limits<std::int64_t>::max() / 2;
+  CHECK(ProgressOf(AttemptRequest) == frame_progress::Malformed);
+  AttemptRequest.TimeLeftMicroseconds = 1000000;
+  CHECK(ProgressOf(AttemptRequest) == frame_progress::Complete);
+  config_transfer Transfer;
+  Transfer.Config.Version = 3;
+  Transfer.Config.Routes = {{"r",
+                             "h",
+                             "/p/",
+                             true,
+                             std::chrono::seconds(1),
+                             std::chrono::seconds(1),
+                             0,
+                             1,
+                             {}}};
+  CHECK(ProgressOf(Transfer) == frame_progress::Malformed);
+  Transfer.Config.Routes[0].Services = {{"s", 0}};
+  CHECK(ProgressOf(Transfer) == frame_progress::Malformed);
+  Transfer.Config.Routes[0].Services = {{"s", 1}};
+  CHECK(ProgressOf(Transfer) == frame_progress::Complete);
+  Transfer.Config.Routes[0].Timeout = duration::max();
+  CHECK(ProgressOf(Transfer) == frame_progress::Malformed);
+}
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -63,6 +63,9 @@
   CHECK_FALSE(node_record::decode("{}"));
   CHECK_FALSE(node_record::decode("\xff\x00 nonsense"));
   CHECK_FALSE(node_record::decode(R"({"node":5})"));
+  node_record Unreachable = Record;
+  Unreachable.Peer.Host = "no.address.example";
+  CHECK_FALSE(node_record::decode(Unreachable.encoded()));
 }
 
 TEST_CASE("instance reports are ordered by start time and sequence number") {
