Proxy: permissions and departures survive pauses and restarts

Cause, each shown by a test that failed first: - A gate took the time left of an order as if the order had just been sent.

Change: each frame says when it was sent; transit_delay compares this with the fastest recent frame of the link (clocks need not agree) and takes the rest from the time left. Every node remembers the departures that others announce in status, hello and record, and tells the node in its hello, before any order on that link. The new fields stand behind the message in its frame: a node of the version before ignores them, and their lack is accepted.

Ruled out: a confirmation only once the store has the departure. A drain has to work while the store is away (mesh test "calls and drains work while the store does not respond").

Left: if every node that knew of the departure is killed as well while the store is away, nobody can tell.

--- a/modules/clementine_proxy/entry/instance_directory.cpp
+++ b/modules/clementine_proxy/entry/instance_directory.cpp
@@ -39,6 +39,7 @@
 
 void instance_directory::record(const node_record &Record) {
   known_gate &Gate = Gates[Record.Node];
+  departed(Record.Node, Record.Departed);
   // After the former record was removed, a lower incarnation does not mean an
   // older process: the VM's wall clock was set back.
   if (Record.Incarnation < Gate.Record.Incarnation && !Gate.RecordRemovedAt)
@@ -80,6 +81,7 @@
   known_gate &Gate = Found->second;
   if (Hello.Self.Incarnation >= Gate.Record.Incarnation)
     Gate.Record = Hello.Self;
+  departed(Node, Hello.Self.Departed);
   Gate.DownUntil = instant();
   status(Node, Hello.Gate);
 }
@@ -110,6 +112,22 @@
   Found->second.InFlightAtStatus = Found->second.InFlight;
 }
 
+void instance_directory::departed(const std::string &Node,
+                                  const std::optional<instance_run> &Run) {
+  const auto Found = Gates.find(Node);
+  if (Found == Gates.end() || !Run)
+    return;
+  std::optional<instance_run> &Known = Found->second.Departed;
+  if (!Known || Known->StartedAt <= Run->StartedAt)
+    Known = Run;
+}
+
+std::optional<instance_run>
+instance_directory::departureOf(const std::string &Node) const {
+  const known_gate *Gate = find(Node);
+  return Gate == nullptr ? std::nullopt : Gate->Departed;
+}
+
 void instance_directory::attemptSent(const std::string &Node) {
   const auto Found = Gates.find(Node);
   if (Found != Gates.end())
--- a/modules/clementine_proxy/entry/instance_directory.h
+++ b/modules/clementine_proxy/entry/instance_directory.h
@@ -44,6 +44,8 @@
   instant RefusedUntil;
   /// When the record was removed from the store, if it was.
   std::optional<instant> RecordRemovedAt;
+  /// The latest departure that the node has announced, by any of its processes.
+  std::optional<instance_run> Departed;
   /// The exponential moving average of the share of runs that failed there.
   double FailureShare = 0;
 
@@ -74,6 +76,12 @@
   void markDisconnected(const std::string &Node, instant Now);
   void markUnresponsive(const std::string &Node, instant Now);
   void status(const std::string &Node, const gate_status &Status);
+  /// Records a departure that a node has announced, unless a later one is
+  /// known.
+  void departed(const std::string &Node,
+                const std::optional<instance_run> &Run);
+  /// @returns the latest departure that a node has announced, if any.
+  std::optional<instance_run> departureOf(const std::string &Node) const;
 
   /// @name Starts and ends of attempts
   void attemptSent(const std::string &Node);
--- a/modules/clementine_proxy/gate/instance_registration.cpp
+++ b/modules/clementine_proxy/gate/instance_registration.cpp
@@ -28,7 +28,7 @@
   if (Report.State == instance_state::Draining)
     recordDeparture(Report.Instance, Report.StartedAt);
   Current = Report;
-  if (hasDeparted(Report))
+  if (hasDeparted({Report.Instance, Report.StartedAt}))
     Current->State = instance_state::Draining;
   return report_verdict::Accepted;
 }
@@ -61,9 +61,9 @@
         [](const auto &A, const auto &B) { return A.second < B.second; }));
 }
 
-bool instance_registration::hasDeparted(const instance_report &Report) const {
-  const auto Found = Departed.find(Report.Instance);
-  return Found != Departed.end() && Report.StartedAt <= Found->second;
+bool instance_registration::hasDeparted(const instance_run &Run) const {
+  const auto Found = Departed.find(Run.Instance);
+  return Found != Departed.end() && Run.StartedAt <= Found->second;
 }
 
 const instance_report *instance_registration::ready() const {
--- a/modules/clementine_proxy/gate/instance_registration.h
+++ b/modules/clementine_proxy/gate/instance_registration.h
@@ -52,6 +52,10 @@
   void release() { IsHeld = false; }
   bool isHeld() const { return IsHeld; }
 
+  /// @returns whether @p Run, or a later one of the same instance, has
+  /// deregistered or drained.
+  bool hasDeparted(const instance_run &Run) const;
+
   /// @returns the last run that deregistered or drained.
   const std::optional<instance_run> &lastDeparture() const {
     return LastDeparted;
@@ -67,7 +71,6 @@
   static constexpr std::size_t MaxDeparted = 64;
 
   void recordDeparture(const std::string &Instance, std::int64_t StartedAt);
-  bool hasDeparted(const instance_report &Report) const;
 
   const std::string Service;
   const endpoint Address;
--- a/modules/clementine_proxy/node/instance_report_handler.cpp
+++ b/modules/clementine_proxy/node/instance_report_handler.cpp
@@ -22,6 +22,17 @@
   Changed(false);
 }
 
+void instance_report_handler::handleRememberedDeparture(
+    const instance_run &Departed) {
+  if (Registration.hasDeparted(Departed))
+    return;
+  const bool IsPresent =
+      Registration.deregister(Departed.Instance, Departed.StartedAt);
+  Log.info("departure learned from another node",
+           {{"instance", Departed.Instance}, {"present", IsPresent ? 1 : 0}});
+  Changed(false);
+}
+
 bool instance_report_handler::handleDeparture(
     const instance_departure &Departure) {
   const bool IsPresent =
--- a/modules/clementine_proxy/node/instance_report_handler.h
+++ b/modules/clementine_proxy/node/instance_report_handler.h
@@ -29,6 +29,10 @@
   /// then lets instances accept work. Does nothing when called again.
   void startAccepting(const std::optional<instance_run> &Departed);
 
+  /// Records a departure that another node remembers from a previous process of
+  /// this node.
+  void handleRememberedDeparture(const instance_run &Departed);
+
   /// Handles a call of the instance; its effect is complete when this returns.
   /// @param Content a report or a departure.
   /// @returns whether the content concerns this node.
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -25,6 +25,8 @@
 #include <random>
 #include <utility>
 
+#include <sys/random.h>
+
 namespace clementine::proxy {
 
 namespace asio = boost::asio;
@@ -48,9 +50,13 @@
 /// readiness and metrics.
 constexpr std::size_t MaxLocalConnections = 64;
 
+/// Asks the kernel: std::random_device may use an instruction of the processor,
+/// which no tool that repeats a run can repeat.
 std::uint64_t randomSeed() {
-  std::random_device Device;
-  return (std::uint64_t{Device()} << 32U) | Device();
+  std::uint64_t Seed = 0;
+  if (::getrandom(&Seed, sizeof(Seed), 0) != sizeof(Seed))
+    return std::random_device()();
+  return Seed;
 }
 
 std::uint64_t wallMilliseconds() {
@@ -192,16 +198,18 @@
   }
 
   /// @name peer_hub_listener
-  peer_hello hello() override {
+  peer_hello helloTo(const std::string &Node) override {
     return {StatusPublisher.record(), Forwarder.configVersion(),
-            StatusPublisher.status(now())};
+            StatusPublisher.status(now()), Directory.departureOf(Node)};
   }
 
   peer_status status() override {
-    return {Forwarder.configVersion(), StatusPublisher.status(now())};
+    return {Forwarder.configVersion(), StatusPublisher.status(now()),
+            Registration.lastDeparture()};
   }
 
   void peerUp(const std::string &Node, const peer_hello &Hello) override {
+    processRememberedDeparture(Hello);
     Directory.markConnected(Node, Hello);
     Forwarder.linkUp(Node, Hello.Self.Incarnation, now());
     ConfigExchange.requestIfNewer(Node, Hello.ConfigVersion, now());
@@ -227,6 +235,7 @@
       schedule();
     } else if (const auto *Status = std::get_if<peer_status>(&Message)) {
       Directory.status(Node, Status->Gate);
+      Directory.departed(Node, Status->Departed);
       ConfigExchange.requestIfNewer(Node, Status->ConfigVersion, now());
     } else if (auto *Transfer = std::get_if<config_transfer>(&Message)) {
       ConfigExchange.apply(
@@ -253,6 +262,7 @@
   /// Updates the directory from the hello of a connecting node, since the store
   /// may be unavailable or report a new process of that node later.
   void processHello(const peer_hello &Hello) {
+    processRememberedDeparture(Hello);
     const known_gate *Gate = Directory.find(Hello.Self.Node);
     if (Gate == nullptr || Gate->Record.Incarnation < Hello.Self.Incarnation)
       Directory.record(Hello.Self);
@@ -261,6 +271,13 @@
       Peers.open(Hello.Self.Node, Gate->Record.Peer);
   }
 
+  /// A hello is processed before any order on its link, so that no node that
+  /// knows of a departure can send work to the departed run.
+  void processRememberedDeparture(const peer_hello &Hello) {
+    if (Hello.ReceiverDeparture)
+      ReportHandler.handleRememberedDeparture(*Hello.ReceiverDeparture);
+  }
+
   /// @name forward_port
   bool openLink(const node_record &Target) override {
     return Target.Node == Settings.Name || Peers.open(Target.Node, Target.Peer);
@@ -268,9 +285,11 @@
 
   void send(const std::string &Node, peer_message Message) override {
     if (Node == Settings.Name)
-      asio::post(Loop, [this, Message = std::move(Message)]() mutable {
-        peerRequestReceived(OwnEntryLink, std::move(Message));
-      });
+      asio::post(
+          Loop, [this, Message = std::move(Message), SentAt = now()]() mutable {
+            reduceTimeLeft(Message, now() - SentAt);
+            peerRequestReceived(OwnEntryLink, std::move(Message));
+          });
     else
       Peers.sendTo(Node, Message);
   }
--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -130,7 +130,7 @@
   Found->second.Link = Link;
   DialledNodeByLink[Number] = Node;
   Link->start();
-  Link->send(Listener.hello());
+  Link->send(Listener.helloTo(Node));
 }
 
 void peer_hub::handleLinkFailure(const std::string &Node) {
@@ -192,7 +192,7 @@
   if (auto *Hello = std::get_if<peer_hello>(&Message)) {
     Link->Peer = Hello->Self;
     if (!IsDialled) {
-      Link->send(Listener.hello());
+      Link->send(Listener.helloTo(Hello->Self.Node));
       return Listener.peerRequestReceived(Link->number(), std::move(Message));
     }
     const std::string Node = Owner->second;
--- a/modules/clementine_proxy/peers/peer_hub.h
+++ b/modules/clementine_proxy/peers/peer_hub.h
@@ -36,8 +36,9 @@
 public:
   virtual ~peer_hub_listener() = default;
 
-  /// @returns the hello that this node sends when a link is established.
-  virtual peer_hello hello() = 0;
+  /// @returns the hello that this node sends to @p Node when a link between
+  /// them is established.
+  virtual peer_hello helloTo(const std::string &Node) = 0;
   virtual peer_status status() = 0;
 
   /// Called when the hello of a dialled node arrives.
--- a/modules/clementine_proxy/peers/peer_link.cpp
+++ b/modules/clementine_proxy/peers/peer_link.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+using std::chrono::microseconds;
+
 constexpr std::size_t ReadChunkBytes = 16384;
 
 } // namespace
@@ -40,7 +42,8 @@
 void peer_link::send(const peer_message &Message) {
   if (!IsOpen)
     return;
-  Unsent += encodeFrame(Message);
+  Unsent += encodeFrame(Message, std::chrono::duration_cast<microseconds>(
+                                     boot_clock().now().time_since_epoch()));
   if (Unsent.size() > MaxUnsentBytes)
     return close();
   if (Sending.empty())
@@ -79,11 +82,14 @@
   std::size_t Offset = 0;
   while (IsOpen) {
     peer_message Message;
-    const frame_progress Progress = decodeFrame(Input, Offset, Message);
+    std::optional<microseconds> SentAt;
+    const frame_progress Progress = decodeFrame(Input, Offset, Message, SentAt);
     if (Progress == frame_progress::Incomplete)
       break;
     if (Progress == frame_progress::Malformed)
       return close();
+    if (SentAt)
+      reduceTimeLeft(Message, TransitDelay.measure(*SentAt, LastReceivedAt));
     Listener.linkMessage(shared_from_this(), std::move(Message));
   }
   Input.erase(0, Offset);
--- a/modules/clementine_proxy/peers/peer_link.h
+++ b/modules/clementine_proxy/peers/peer_link.h
@@ -2,6 +2,7 @@
 #define CLEMENTINE_PROXY_PEERS_PEER_LINK_H
 
 #include "clementine_proxy/peers/peer_messages.h"
+#include "clementine_proxy/peers/transit_delay.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -25,6 +26,10 @@
 
 /// A TCP connection between two nodes that carries framed messages in both
 /// directions. Pending reads and writes keep the object alive.
+///
+/// The time left of a received attempt_request is reduced by its transit_delay:
+/// what waited in buffers, or for a process that was paused, must not run for
+/// longer than its caller waits.
 class peer_link final : public std::enable_shared_from_this<peer_link> {
 public:
   /// TCP_USER_TIMEOUT: the connection fails if sent bytes stay unacknowledged
@@ -72,6 +77,7 @@
   std::string Unsent;
   std::string Sending;
   instant LastReceivedAt;
+  transit_delay TransitDelay;
   bool IsOpen = true;
 };
 
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -158,6 +158,12 @@
   Target(Value.Config);
 }
 
+void reduceTimeLeft(peer_message &Message, duration Delay) {
+  if (auto *AttemptRequest = std::get_if<attempt_request>(&Message))
+    AttemptRequest->TimeLeftMicroseconds -=
+        std::chrono::duration_cast<std::chrono::microseconds>(Delay).count();
+}
+
 std::string_view runOutcomeName(run_outcome Outcome) {
   switch (Outcome) {
   case run_outcome::Completed:
@@ -246,13 +252,46 @@
 
 } // namespace
 
-std::string encodeFrame(const peer_message &Message) {
+namespace {
+
+template <class Archive>
+void serializeDeparture(Archive &Fields, std::optional<instance_run> &Value) {
+  instance_run Run = Value.value_or(instance_run{});
+  bool IsPresent = Value.has_value();
+  Fields(IsPresent, name(Run.Instance), Run.StartedAt);
+  Value = IsPresent ? std::optional(Run) : std::nullopt;
+}
+
+/// @name serializeExtension
+/// The fields of a message that were added after the first version; they stand
+/// behind it in its frame.
+template <class Archive, class Message>
+void serializeExtension(Archive &, Message &) {}
+
+template <class Archive>
+void serializeExtension(Archive &Fields, peer_hello &Value) {
+  serializeDeparture(Fields, Value.Self.Departed);
+  serializeDeparture(Fields, Value.ReceiverDeparture);
+}
+
+template <class Archive>
+void serializeExtension(Archive &Fields, peer_status &Value) {
+  serializeDeparture(Fields, Value.Departed);
+}
+
+} // namespace
+
+std::string encodeFrame(const peer_message &Message,
+                        std::chrono::microseconds SentAt) {
   std::string Frame(LengthBytes, '\0');
   {
     append_buffer Buffer(Frame);
     std::ostream Stream(&Buffer);
     cereal::PortableBinaryOutputArchive Archive(Stream);
     Archive(Message);
+    Archive(std::int64_t{SentAt.count()});
+    std::visit([&Archive](auto Copy) { serializeExtension(Archive, Copy); },
+               Message);
   }
   const auto Length = boost::endian::native_to_big(
       static_cast<std::uint32_t>(Frame.size() - LengthBytes));
@@ -262,6 +301,13 @@
 
 frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
                            peer_message &Message) {
+  std::optional<std::chrono::microseconds> SentAt;
+  return decodeFrame(Buffer, Offset, Message, SentAt);
+}
+
+frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
+                           peer_message &Message,
+                           std::optional<std::chrono::microseconds> &SentAt) {
   if (Buffer.size() - Offset < LengthBytes)
     return frame_progress::Incomplete;
   std::uint32_t Length = 0;
@@ -277,6 +323,14 @@
     std::istream Stream(&Bytes);
     cereal::PortableBinaryInputArchive Archive(Stream);
     Archive(Message);
+    SentAt.reset();
+    if (Stream.peek() != std::istream::traits_type::eof()) {
+      std::int64_t Microseconds = 0;
+      Archive(Microseconds);
+      SentAt.emplace(Microseconds);
+      std::visit([&Archive](auto &Each) { serializeExtension(Archive, Each); },
+                 Message);
+    }
   } catch (const std::exception &) {
     return frame_progress::Malformed;
   }
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -5,6 +5,7 @@
 #include "clementine_proxy/model/instance_record.h"
 #include "clementine_proxy/model/routing_config.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
   node_record Self;
   std::uint64_t ConfigVersion = 0;
   gate_status Gate;
+  /// The last departure that the receiving node has announced, so that its next
+  /// process learns of it even while the store is away.
+  std::optional<instance_run> ReceiverDeparture = std::nullopt;
 
   bool operator==(const peer_hello &) const = default;
 };
@@ -142,6 +146,8 @@
 struct peer_status {
   std::uint64_t ConfigVersion = 0;
   gate_status Gate;
+  /// The last run whose departure the node confirmed.
+  std::optional<instance_run> Departed = std::nullopt;
 
   bool operator==(const peer_status &) const = default;
 };
@@ -162,17 +168,31 @@
     std::variant<peer_hello, attempt_request, run_report, run_query, run_cancel,
                  peer_probe, peer_status, config_request, config_transfer>;
 
+/// Takes the time that an attempt_request has waited on its way from the time
+/// that it has left. Does nothing for other messages.
+void reduceTimeLeft(peer_message &Message, duration Delay);
+
 /// Maximum size of one encoded message, without the length prefix.
 constexpr std::size_t MaxPeerMessageBytes = std::size_t{72} << 20U;
 
 /// @returns the encoded message, prefixed by its length: 4 bytes, big endian.
-std::string encodeFrame(const peer_message &Message);
+/// Fields that were added later follow the message: a node of an earlier
+/// version ignores them.
+/// @param SentAt by the clock of the sending node.
+std::string encodeFrame(const peer_message &Message,
+                        std::chrono::microseconds SentAt = {});
 
 /// Result of decoding a frame.
 enum class frame_progress : std::uint8_t { Incomplete, Complete, Malformed };
 
 /// Decodes the first frame of @p Buffer.
 /// @param Offset start of the undecoded bytes; advanced past a complete frame.
+/// @param SentAt set if the sender has said when it sent the message.
+frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
+                           peer_message &Message,
+                           std::optional<std::chrono::microseconds> &SentAt);
+
+/// As above, for callers that do not need the time of sending.
 frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
                            peer_message &Message);
 
--- a/tests/proxy/test_messages.cpp
+++ b/tests/proxy/test_messages.cpp
@@ -216,3 +216,32 @@
   Transfer.Config.Routes[0].Timeout = duration::max();
   CHECK(ProgressOf(Transfer) == frame_progress::Malformed);
 }
+
+TEST_CASE("fields that later versions add to a frame do not disturb earlier "
+          "ones, and may be missing") {
+  peer_hello Hello;
+  Hello.Self.Node = "n";
+  Hello.Self.Departed = instance_run{"i-1", 17};
+  Hello.ReceiverDeparture = instance_run{"i-2", 18};
+  const std::string Frame = encodeFrame(Hello, std::chrono::microseconds(5));
+  std::size_t Offset = 0;
+  peer_message Decoded;
+  std::optional<std::chrono::microseconds> SentAt;
+  REQUIRE(decodeFrame(Frame, Offset, Decoded, SentAt) ==
+          frame_progress::Complete);
+  CHECK(std::get<peer_hello>(Decoded) == Hello);
+  CHECK(SentAt == std::chrono::microseconds(5));
+
+  // A frame of the version before: the message alone.
+  peer_hello Plain;
+  Plain.Self.Node = "n";
+  std::string Longer = encodeFrame(Plain);
+  constexpr std::size_t ExtensionBytes = 8 + 2 * (1 + 4 + 8);
+  std::string Earlier = Longer.substr(0, Longer.size() - ExtensionBytes);
+  Earlier[3] = static_cast<char>(Earlier.size() - 4);
+  Offset = 0;
+  REQUIRE(decodeFrame(Earlier, Offset, Decoded, SentAt) ==
+          frame_progress::Complete);
+  CHECK(std::get<peer_hello>(Decoded) == Plain);
+  CHECK_FALSE(SentAt.has_value());
+}
--- a/tests/proxy/test_peer_hub.cpp
+++ b/tests/proxy/test_peer_hub.cpp
@@ -16,7 +16,7 @@
 /// Records the nodes whose links failed.
 class recording_listener final : public peer_hub_listener {
 public:
-  peer_hello hello() override { return {}; }
+  peer_hello helloTo(const std::string &) override { return {}; }
   peer_status status() override { return {}; }
   void peerUp(const std::string &, const peer_hello &) override {}
   void peerDown(const std::string &Node, bool) override {
--- a/tests/users_process/test_mesh.cpp
+++ b/tests/users_process/test_mesh.cpp
@@ -81,6 +81,30 @@
     CHECK(Mesh.Runs.by("archive-east-1") == Before);
   }
 
+  // As above, but the next process cannot read its former record: the other
+  // nodes, which it told, have to tell it.
+  SUBCASE("a confirmed drain still holds for the next process of the node if "
+          "the store is away") {
+    app_instance &Instance = Mesh.instance("archive-east");
+    REQUIRE(Mesh.call("front-east", "/archive/1").Status == 200);
+    Mesh.Store->setOutage(kv_store::outage::Silent);
+    REQUIRE(Instance.drain());
+    Instance.pauseReports();
+    Mesh.node("archive-east").kill();
+    Mesh.startNode("archive-east");
+    REQUIRE(await([&] { return Instance.sendStaleReadyReport(); }));
+    REQUIRE(await([&] {
+      return Mesh.logOf("archive-east").find("instances may accept work") !=
+             std::string::npos;
+    }));
+    const int Before = Mesh.Runs.by("archive-east-1");
+    const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+    while (std::chrono::steady_clock::now() < End)
+      CHECK(Mesh.call("front-east", "/archive/1").Status == 200);
+    CHECK(Mesh.Runs.by("archive-east-1") == Before);
+    Mesh.Store->setOutage(kv_store::outage::None);
+  }
+
   SUBCASE("a new configuration is applied on every node") {
     Mesh.configure(2, {});
     for (const std::string &Machine : Mesh.machines())
