Proxy: fewer calls to the store at a start

Test: a start writes its record with 2 calls (before: 3), 3 over the record of its former process (4). test_users_platform 16, test_users_process 1, pass.

--- a/extras/stand_in_users_platform/kv_store.cpp
+++ b/extras/stand_in_users_platform/kv_store.cpp
@@ -190,8 +190,13 @@
                       Commit.error().Cause == platform_cause::LeaseNotFound
                           ? NotFound
                           : BadRequest);
-  if (!Commit.value().Succeeded)
-    return jsonAnswer({{"items", json::array()}}, PreconditionFailed);
+  if (!Commit.value().Succeeded) {
+    json Items = json::array();
+    for (const platform_compare &Compare : Transaction.Compares)
+      if (const auto Found = Store.get(Compare.Key); Found && Found.value())
+        Items.push_back(itemOf(*Found.value()));
+    return jsonAnswer({{"items", Items}}, PreconditionFailed);
+  }
   return jsonAnswer({{"revision", Commit.value().Revision}});
 }
 
--- a/modules/clementine_proxy/node/store_synchronizer.cpp
+++ b/modules/clementine_proxy/node/store_synchronizer.cpp
@@ -19,6 +19,7 @@
   store_task_settings Records;
   Records.BatchBackoff = {std::chrono::milliseconds(500),
                           std::chrono::milliseconds(4000)};
+  Records.FirstWatchDelay = std::chrono::milliseconds(2000);
   return Records;
 }
 
--- a/modules/clementine_proxy/node/store_tasks.cpp
+++ b/modules/clementine_proxy/node/store_tasks.cpp
@@ -3,6 +3,7 @@
 #include "clementine_telemetry/clementine_telemetry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementine::proxy {
 
@@ -75,6 +76,8 @@
   setConnected(true, nullptr);
   Failures = 0;
   Listener.Listed(Listed.value().Entries);
+  if (!std::exchange(HasListed, true) && Settings.FirstWatchDelay > duration(0))
+    Sleep.sleep(Settings.FirstWatchDelay, Stopping);
   const auto Ended = Store.watch(
       Prefix, Listed.value().Revision + 1,
       [this, &Stopping](const platform_watch_batch &Batch) {
@@ -151,8 +154,14 @@
 }
 
 bool record_publisher::isStoreReachable() {
+  const instant Now = monotonic_clock().now();
+  if (Failures == 0 && Now - ReachedAt < Settings.IntervalsBetweenChecks *
+                                             Settings.RenewInterval)
+    return true;
   const auto Present = Store.get(Key);
-  if (!Present)
+  if (Present)
+    ReachedAt = Now;
+  else
     logFailure("read", Present.error());
   return Present.has_value();
 }
@@ -165,6 +174,7 @@
     const auto Kept = Store.renewLease(Lease);
     if (Kept) {
       RenewedAt = Now;
+      ReachedAt = Now;
       return true;
     }
     if (Kept.error().Cause != platform_cause::LeaseNotFound) {
@@ -172,9 +182,10 @@
       return false;
     }
     log().warning("lease expired", {{"lease", Lease}});
+    // The record was removed together with its lease.
     Lease = 0;
     Written.reset();
-    Revision.reset();
+    Revision = 0;
   }
   const auto Granted = Store.grantLease(Settings.LeaseDuration);
   if (!Granted) {
@@ -186,15 +197,19 @@
   return true;
 }
 
-bool record_publisher::write(const std::optional<node_record> &Target) {
-  if (!Revision) {
-    const auto Present = Store.get(Key);
-    if (!Present) {
-      logFailure("read", Present.error());
-      return false;
-    }
-    Revision = Present.value() ? Present.value()->ModRevision : 0;
+bool record_publisher::readRevision() {
+  const auto Present = Store.get(Key);
+  if (!Present) {
+    logFailure("read", Present.error());
+    return false;
   }
+  Revision = Present.value() ? Present.value()->ModRevision : 0;
+  return true;
+}
+
+/// @returns nothing if the store failed; Revision is then unknown.
+std::optional<platform_commit>
+record_publisher::commit(const std::optional<node_record> &Target) {
   platform_transaction Transaction;
   Transaction.Compares.push_back({Key, platform_compare::field::ModRevision,
                                   platform_compare::relation::Equal,
@@ -204,19 +219,34 @@
   else
     Transaction.Deletes.push_back(Key);
   const auto Committed = Store.commit(Transaction);
-  if (!Committed) {
-    Revision.reset();
-    if (Committed.error().Cause == platform_cause::LeaseNotFound)
-      Lease = 0;
-    logFailure("write", Committed.error());
+  if (Committed)
+    return Committed.value();
+  Revision.reset();
+  if (Committed.error().Cause == platform_cause::LeaseNotFound)
+    Lease = 0;
+  logFailure("write", Committed.error());
+  return std::nullopt;
+}
+
+bool record_publisher::write(const std::optional<node_record> &Target) {
+  if (!Revision && !readRevision())
     return false;
+  auto Committed = commit(Target);
+  if (Committed && !Committed->Succeeded) {
+    // Another write came first: that of a former process, as a rule.
+    const auto &Found = Committed->Entries;
+    Revision = Found.empty() ? 0 : Found.front().ModRevision;
+    Committed = commit(Target);
   }
-  if (!Committed.value().Succeeded) {
+  if (!Committed)
+    return false;
+  if (!Committed->Succeeded) {
     Revision.reset();
     return false;
   }
-  Revision = Target ? Committed.value().Revision : 0;
+  Revision = Target ? Committed->Revision : 0;
   Written = Target;
+  ReachedAt = monotonic_clock().now();
   log().info("record written",
              {{"key", Key},
               {"instance", Target ? Target->Instance : "(removed)"},
--- a/modules/clementine_proxy/node/store_tasks.h
+++ b/modules/clementine_proxy/node/store_tasks.h
@@ -22,9 +22,15 @@
   /// The delays after changes before the next ones are requested, so that one
   /// response contains several.
   batch_backoff_settings BatchBackoff;
+  /// How long the first watch waits after the first listing. All nodes of a
+  /// deployment may start at once, and each of them writes a record.
+  duration FirstWatchDelay{0};
   /// The duration of the lease that the node's record is attached to.
   std::chrono::seconds LeaseDuration{6};
   duration RenewInterval = std::chrono::milliseconds(2000);
+  /// How often a node without a record checks that the store can be reached, in
+  /// renewal intervals.
+  int IntervalsBetweenChecks = 5;
 
   bool operator==(const store_task_settings &) const = default;
 };
@@ -83,6 +89,7 @@
   batch_backoff BatchBackoff;
   std::optional<bool> IsConnected;
   unsigned Failures = 0;
+  bool HasListed = false;
 };
 
 /// Publishes this node's record in the store under a lease. Each write is
@@ -111,6 +118,9 @@
   bool isStoreReachable();
   bool ensureLease();
   bool write(const std::optional<node_record> &Desired);
+  bool readRevision();
+  std::optional<platform_commit>
+  commit(const std::optional<node_record> &Desired);
   std::optional<node_record> desired();
   void logFailure(std::string_view Step, const platform_error &Error);
 
@@ -122,10 +132,13 @@
   std::mutex Mutex;
   std::optional<node_record> Desired;
   std::optional<node_record> Written;
-  /// The revision of the key; empty while it has to be read.
-  std::optional<platform_revision> Revision;
+  /// The revision of the key; empty while it has to be read. A new process
+  /// assumes that there is none; the store says if that is wrong.
+  std::optional<platform_revision> Revision = 0;
   lease_id Lease = 0;
   instant RenewedAt;
+  /// When the store last answered a call.
+  instant ReachedAt;
   unsigned Failures = 0;
 };
 
--- a/tests/users_platform/test_store.cpp
+++ b/tests/users_platform/test_store.cpp
@@ -194,3 +194,25 @@
   Publisher.wake();
   PublisherThread.join();
 }
+
+TEST_CASE("a starting node writes its record with two calls, and with three "
+          "over that of its former process") {
+  fixture Test;
+  const auto CallsToWrite = [&](const proxy::node_record &Record) {
+    const int Before = Test.Server.calls();
+    proxy::record_publisher Publisher(Test.Store, "r/n", {}, [] {});
+    std::atomic<bool> Stopping{false};
+    Publisher.publish(Record);
+    std::thread PublisherThread([&] { Publisher.run(Stopping); });
+    for (int Step = 0;
+         Step < 1000 && Test.Server.valueOf("r/n") != Record.encoded(); ++Step)
+      std::this_thread::sleep_for(5ms);
+    CHECK(Test.Server.valueOf("r/n") == Record.encoded());
+    Stopping = true;
+    Publisher.wake();
+    PublisherThread.join();
+    return Test.Server.calls() - Before;
+  };
+  CHECK(CallsToWrite({"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5}) == 2);
+  CHECK(CallsToWrite({"n", 2, "z", {"127.0.0.1", 1}, "s", "i", 5}) == 3);
+}
