Proxy stop: requests whose time runs out with the grace get a final answer

Change: forwarder::answerAll() answers what is left, as not run only if no attempt was sent, and the node waits up to 200 ms until that is written. Records that keep changing are read every 6 s instead of every 4 s at most: what is urgent in them travels over the links.

--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -286,6 +286,17 @@
   erase(*Call);
 }
 
+void forwarder::answerAll(instant Now) {
+  std::vector<call_pointer> Unanswered;
+  for (const auto &[Number, Call] : Calls)
+    Unanswered.push_back(Call);
+  for (const call_pointer &Call : Unanswered) {
+    if (Call->Attempt && Call->Attempt->IsSent && !Call->Attempt->IsCancelled)
+      cancelOrFail(Call, Now);
+    cancelOrFail(Call, Now);
+  }
+}
+
 void forwarder::linkUp(const std::string &Node, std::uint64_t Incarnation,
                        instant Now) {
   std::vector<call_pointer> Waiting;
--- a/modules/clementine_proxy/entry/forwarder.h
+++ b/modules/clementine_proxy/entry/forwarder.h
@@ -83,6 +83,10 @@
   /// Ends a call whose caller has disconnected, and cancels its attempt.
   void callerDisconnected(call_number Call, instant Now);
 
+  /// Answers every request that has no response yet, without waiting for its
+  /// gate: the process ends.
+  void answerAll(instant Now);
+
   void handleReport(const std::string &Node, run_report Report, instant Now);
   void linkUp(const std::string &Node, std::uint64_t Incarnation, instant Now);
   void linkDown(const std::string &Node, bool WasUp, instant Now);
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -44,6 +44,8 @@
 /// its interruption.
 constexpr std::chrono::milliseconds StoreInterruptMargin{2200};
 constexpr std::chrono::milliseconds StopPollInterval{20};
+/// How long the final responses of a stop may take to be written.
+constexpr std::chrono::milliseconds ResponseWriteTime{200};
 /// How long a starting node waits for the record of its previous process.
 constexpr std::chrono::milliseconds PreviousRecordTimeout{1000};
 /// The maximum number of open connections to each of the listeners for control,
@@ -142,6 +144,8 @@
       if (IsFinished || now() >= StoreEnd)
         Adapter.store().interrupt();
     }
+    if (!IsFinished)
+      answerRemainingCalls();
     runOnLoop([this] { close(); });
     Root.stop();
     Log.info("node stopped", {{"finished", IsFinished ? 1 : 0}});
@@ -160,6 +164,16 @@
     Done.get_future().wait();
   }
 
+  void answerRemainingCalls() {
+    runOnLoop([this] { Forwarder.answerAll(now()); });
+    bool IsWritten = false;
+    for (const instant End = now() + ResponseWriteTime;
+         !IsWritten && now() < End;) {
+      std::this_thread::sleep_for(StopPollInterval);
+      runOnLoop([&] { IsWritten = !Outbound.isBusy(); });
+    }
+  }
+
   /// The loop starts first and stops last: the tasks of the store post to it.
   void addTasks() {
     Root.add(makeCriticalTask(
--- a/modules/clementine_proxy/node/store_synchronizer.cpp
+++ b/modules/clementine_proxy/node/store_synchronizer.cpp
@@ -18,7 +18,7 @@
 store_task_settings recordTaskSettings() {
   store_task_settings Records;
   Records.BatchBackoff = {std::chrono::milliseconds(500),
-                          std::chrono::milliseconds(4000)};
+                          std::chrono::milliseconds(6000)};
   Records.FirstWatchDelay = std::chrono::milliseconds(2000);
   return Records;
 }
--- a/tests/proxy/test_forwarder.cpp
+++ b/tests/proxy/test_forwarder.cpp
@@ -332,6 +332,22 @@
   CHECK(Test.Forwarder.active() == 0);
 }
 
+TEST_CASE("a stop whose time is up answers every request: as not run only if "
+          "no attempt was sent") {
+  fixture Test;
+  const auto Sent = Test.begin("/book/1");
+  Test.Port.Down = {"a", "b", "c"};
+  const auto Unsent = Test.begin("/book/2");
+  Test.Forwarder.answerAll(Test.Now);
+  REQUIRE(Test.Port.Answers.contains(Sent));
+  CHECK(Test.Port.Answers[Sent].Status == 502);
+  REQUIRE(Test.Port.Answers.contains(Unsent));
+  CHECK(Test.Port.Answers[Unsent].Status == 503);
+  CHECK(Test.Forwarder.active() == 0);
+  // The gate that has the attempt is told, in case it has not started it.
+  CHECK(std::holds_alternative<run_cancel>(Test.Port.Sent.back().second));
+}
+
 TEST_CASE("a gate whose status shows no ready instance is not chosen") {
   fixture Test;
   Test.Directory.status("a", {"", 0, 0, 10, true});
