--- a/modules/clementine_proxy/clementine_proxy.h
+++ b/modules/clementine_proxy/clementine_proxy.h
@@ -24,6 +24,7 @@
 #include "clementine_proxy/node/batch_backoff.h"
 #include "clementine_proxy/node/deployment_adapter.h"
 #include "clementine_proxy/node/proxy_node.h"
+#include "clementine_proxy/node/record_relay.h"
 #include "clementine_proxy/peers/peer_messages.h"
 #include "clementine_proxy/peers/transit_delay.h"
 #include "clementine_proxy/settings/proxy_settings.h"
--- a/modules/clementine_proxy/entry/instance_directory.cpp
+++ b/modules/clementine_proxy/entry/instance_directory.cpp
@@ -60,6 +60,21 @@
     Found->second.RecordRemovedAt = Now;
 }
 
+void instance_directory::relayedRecord(const node_record &Record,
+                                       bool IsNewer) {
+  if (IsNewer && Record.Node != Settings.OwnNode)
+    record(Record);
+}
+
+std::vector<std::string>
+instance_directory::nodesOfZone(const std::string &Zone) const {
+  std::vector<std::string> Nodes;
+  for (const auto &[Node, Gate] : Gates)
+    if (Gate.Record.Zone == Zone && !Gate.RecordRemovedAt)
+      Nodes.push_back(Node);
+  return Nodes;
+}
+
 void instance_directory::replaceAll(const std::vector<node_record> &Records,
                                     instant Now) {
   for (auto &[Node, Gate] : Gates) {
--- a/modules/clementine_proxy/entry/instance_directory.h
+++ b/modules/clementine_proxy/entry/instance_directory.h
@@ -68,6 +68,11 @@
   void record(const node_record &Record);
   /// Marks a node's record as removed from the store.
   void markRecordRemoved(const std::string &Node, instant Now);
+  /// Adds or updates a record that another node has read from the store.
+  /// @param IsNewer whether the store's revision of it is higher than all that
+  /// this node has read from the store itself. It is ignored otherwise: this
+  /// node may have seen a later change or the removal.
+  void relayedRecord(const node_record &Record, bool IsNewer);
   /// Replaces all records; those not in @p Records are marked as removed.
   void replaceAll(const std::vector<node_record> &Records, instant Now);
 
@@ -115,6 +120,8 @@
   }
 
   std::size_t size() const { return Gates.size(); }
+  /// @returns the names of the nodes in @p Zone whose record is in the store.
+  std::vector<std::string> nodesOfZone(const std::string &Zone) const;
 
 private:
   double cost(const known_gate &Gate, instant Now);
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -12,6 +12,7 @@
 #include "clementine_proxy/node/instance_report_handler.h"
 #include "clementine_proxy/node/node_status_publisher.h"
 #include "clementine_proxy/node/operator_endpoints.h"
+#include "clementine_proxy/node/record_relay.h"
 #include "clementine_proxy/node/store_synchronizer.h"
 #include "clementine_proxy/peers/peer_hub.h"
 #include "clementine_telemetry/clementine_telemetry.h"
@@ -187,20 +188,47 @@
     ConfigExchange.apply(Config, "store", Revision);
   }
 
-  void recordsListed(const std::vector<node_record> &Records) override {
+  void recordsListed(const std::vector<node_record> &Records,
+                     platform_revision Revision) override {
     Directory.replaceAll(Records, now());
+    recordsRead(Revision);
     const auto Own =
         std::ranges::find(Records, Settings.Name, &node_record::Node);
     ReportHandler.startAccepting(Own == Records.end() ? std::nullopt
                                                       : Own->Departed);
   }
 
-  void recordChanged(const node_record &Record) override {
+  void recordChanged(const node_record &Record,
+                     platform_revision Revision) override {
     Directory.record(Record);
+    if (IsRelay)
+      Peers.broadcast({Record, Revision});
+    recordsRead(Revision);
   }
 
-  void recordRemoved(const std::string &Node) override {
+  void recordRemoved(const std::string &Node,
+                     platform_revision Revision) override {
     Directory.markRecordRemoved(Node, now());
+    recordsRead(Revision);
+  }
+
+  void recordsRead(platform_revision Revision) {
+    LastRecordRevision = std::max(LastRecordRevision, Revision);
+  }
+
+  void updateRelayRole() {
+    const bool WasRelay = std::exchange(
+        IsRelay,
+        isRecordRelay(Settings.Name, Directory.nodesOfZone(Settings.Zone)));
+    Store.readRecordsPromptly(IsRelay);
+    if (IsRelay != WasRelay)
+      Log.info(IsRelay ? "passes records on to other nodes"
+                       : "no longer passes records on");
+  }
+
+  void relayedRecord(const record_update &Update) {
+    Directory.relayedRecord(Update.Record,
+                            Update.Revision > LastRecordRevision);
   }
 
   void instanceChanged(bool IsNewRun) {
@@ -251,6 +279,8 @@
       Directory.status(Node, Status->Gate);
       Directory.departed(Node, Status->Departed);
       ConfigExchange.requestIfNewer(Node, Status->ConfigVersion, now());
+    } else if (const auto *Update = std::get_if<record_update>(&Message)) {
+      relayedRecord(*Update);
     } else if (auto *Transfer = std::get_if<config_transfer>(&Message)) {
       ConfigExchange.apply(
           std::make_shared<const routing_config>(std::move(Transfer->Config)),
@@ -268,6 +298,8 @@
       Gate.cancel(*Cancel, Now);
     else if (std::holds_alternative<config_request>(Message))
       ConfigExchange.sendCurrent(Link);
+    else if (const auto *Update = std::get_if<record_update>(&Message))
+      relayedRecord(*Update);
     else if (const auto *Hello = std::get_if<peer_hello>(&Message))
       processHello(*Hello);
     schedule();
@@ -350,6 +382,7 @@
       Peers.removePeer(Node);
     }
     Forwarder.reopenLinks();
+    updateRelayRole();
     if (Registration.isHeld() && Now - StartedAt > PreviousRecordTimeout)
       ReportHandler.startAccepting(std::nullopt);
     Decisions.runDue(Now);
@@ -425,6 +458,9 @@
   node_status_publisher StatusPublisher;
   supervisor Root;
   const instant StartedAt = now();
+  /// The highest revision of a record that this node has read itself.
+  platform_revision LastRecordRevision = 0;
+  bool IsRelay = true;
   bool HasStoppedAccepting = false;
   instant LeavingSince;
 };
--- /dev/null
+++ b/modules/clementine_proxy/node/record_relay.cpp
@@ -0,0 +1,20 @@
+#include "clementine_proxy/node/record_relay.h"
+
+#include "clementine_core/clementine_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine::proxy {
+
+bool isRecordRelay(const std::string &OwnNode,
+                   const std::vector<std::string> &NodesOfZone) {
+  const std::pair Own(stableHash(OwnNode), std::string_view(OwnNode));
+  const auto Earlier =
+      std::ranges::count_if(NodesOfZone, [&Own](const std::string &Node) {
+        return std::pair(stableHash(Node), std::string_view(Node)) < Own;
+      });
+  return static_cast<std::size_t>(Earlier) < RelaysPerZone;
+}
+
+} // namespace clementine::proxy
--- /dev/null
+++ b/modules/clementine_proxy/node/record_relay.h
@@ -0,0 +1,24 @@
+#ifndef CLEMENTINE_PROXY_NODE_RECORD_RELAY_H
+#define CLEMENTINE_PROXY_NODE_RECORD_RELAY_H
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace clementine::proxy {
+
+/// How many nodes of each zone read changes of records promptly and pass them
+/// on over their links.
+constexpr std::size_t RelaysPerZone = 2;
+
+/// Decides whether a node is one of the relays of its zone: those whose names
+/// have the lowest hashes. Every node decides for itself by the records that it
+/// knows, without an election. It does no harm if two nodes differ: every node
+/// reads all changes itself, only later.
+/// @param NodesOfZone the nodes of the zone that have a record.
+bool isRecordRelay(const std::string &OwnNode,
+                   const std::vector<std::string> &NodesOfZone);
+
+} // namespace clementine::proxy
+
+#endif
--- a/modules/clementine_proxy/node/store_synchronizer.cpp
+++ b/modules/clementine_proxy/node/store_synchronizer.cpp
@@ -19,6 +19,8 @@
   store_task_settings Records;
   Records.BatchBackoff = {std::chrono::milliseconds(500),
                           std::chrono::milliseconds(6000)};
+  Records.RelayedBatchBackoff = {std::chrono::milliseconds(4000),
+                                 std::chrono::milliseconds(8000)};
   Records.FirstWatchDelay = std::chrono::milliseconds(2000);
   return Records;
 }
@@ -92,7 +94,12 @@
             for (const platform_entry &Entry : Entries)
               if (auto Record = decodeRecord(Entry))
                 Found.push_back(std::move(*Record));
-            asio::post(Loop, [this, Found] { Listener.recordsListed(Found); });
+            platform_revision Revision = 0;
+            for (const platform_entry &Entry : Entries)
+              Revision = std::max(Revision, Entry.ModRevision);
+            asio::post(Loop, [this, Found, Revision] {
+              Listener.recordsListed(Found, Revision);
+            });
           },
           [this](const platform_event &Event) { recordChanged(Event); },
           [](bool) {}};
@@ -117,7 +124,7 @@
         std::min(RecordPrefix.size(), Event.Entry.Key.size()));
     asio::post(Loop, [this, Node, Revision = Event.Entry.ModRevision] {
       Log.info("record vanished", {{"node", Node}, {"revision", Revision}});
-      Listener.recordRemoved(Node);
+      Listener.recordRemoved(Node, Revision);
     });
     return;
   }
@@ -129,7 +136,7 @@
                                   {"service", Record.Service},
                                   {"instance", Record.Instance},
                                   {"revision", Revision}});
-      Listener.recordChanged(Record);
+      Listener.recordChanged(Record, Revision);
     });
 }
 
--- a/modules/clementine_proxy/node/store_synchronizer.h
+++ b/modules/clementine_proxy/node/store_synchronizer.h
@@ -23,9 +23,14 @@
   virtual void configRead(const std::shared_ptr<const routing_config> &Config,
                           platform_revision Revision) = 0;
   /// @param Records all records; those not among them no longer exist.
-  virtual void recordsListed(const std::vector<node_record> &Records) = 0;
-  virtual void recordChanged(const node_record &Record) = 0;
-  virtual void recordRemoved(const std::string &Node) = 0;
+  /// @param Revision the store's revision as of which they are complete.
+  virtual void recordsListed(const std::vector<node_record> &Records,
+                             platform_revision Revision) = 0;
+  /// @param Revision the store's revision of the change.
+  virtual void recordChanged(const node_record &Record,
+                             platform_revision Revision) = 0;
+  virtual void recordRemoved(const std::string &Node,
+                             platform_revision Revision) = 0;
 };
 
 /// Reads the configuration and the records of all nodes from the store, and
@@ -52,6 +57,10 @@
     Publisher.publish(std::move(Record));
   }
 
+  /// Sets whether this node reads changes of records promptly, see
+  /// prefix_watcher::readPromptly().
+  void readRecordsPromptly(bool IsPrompt) { Records.readPromptly(IsPrompt); }
+
 private:
   prefix_watcher::listener configListener();
   prefix_watcher::listener recordListener();
--- a/modules/clementine_proxy/node/store_tasks.cpp
+++ b/modules/clementine_proxy/node/store_tasks.cpp
@@ -44,7 +44,8 @@
                                listener Listener)
     : Name(std::move(Name)), Store(Store), Prefix(std::move(Prefix)),
       Settings(Settings), Listener(std::move(Listener)),
-      BatchBackoff(Settings.BatchBackoff) {}
+      BatchBackoff(Settings.BatchBackoff),
+      RelayedBatchBackoff(Settings.RelayedBatchBackoff) {}
 
 void prefix_watcher::run(const std::atomic<bool> &Stopping) {
   while (!Stopping) {
@@ -85,7 +86,7 @@
           Listener.Changed(Event);
         if (Batch.Events.empty())
           return;
-        const duration Wait = BatchBackoff.next(monotonic_clock().now());
+        const duration Wait = delayAfterBatch();
         if (Wait > duration(0))
           Sleep.sleep(Wait, Stopping);
       },
@@ -98,6 +99,11 @@
   return true;
 }
 
+duration prefix_watcher::delayAfterBatch() {
+  const instant Now = monotonic_clock().now();
+  return ReadsPromptly ? BatchBackoff.next(Now) : RelayedBatchBackoff.next(Now);
+}
+
 void prefix_watcher::setConnected(bool IsNow, const platform_error *Error) {
   if (IsConnected == IsNow)
     return;
--- a/modules/clementine_proxy/node/store_tasks.h
+++ b/modules/clementine_proxy/node/store_tasks.h
@@ -22,6 +22,8 @@
   /// The delays after changes before the next ones are requested, so that one
   /// response contains several.
   batch_backoff_settings BatchBackoff;
+  /// Replaces BatchBackoff while another node passes the changes on.
+  batch_backoff_settings RelayedBatchBackoff;
   /// How long the first watch waits after the first listing. All nodes of a
   /// deployment may start at once, and each of them writes a record.
   duration FirstWatchDelay{0};
@@ -75,7 +77,12 @@
   void wake();
   const std::string &name() const { return Name; }
 
+  /// Sets whether changes are read promptly, or later because other nodes pass
+  /// them on. Thread-safe.
+  void readPromptly(bool IsPrompt) { ReadsPromptly = IsPrompt; }
+
 private:
+  duration delayAfterBatch();
   bool listAndWatch(const std::atomic<bool> &Stopping);
   void setConnected(bool IsNow, const platform_error *Error);
 
@@ -86,7 +93,9 @@
   const listener Listener;
   interruptible_sleep Sleep;
   std::atomic<bool> CancelsWatch{false};
+  std::atomic<bool> ReadsPromptly{true};
   batch_backoff BatchBackoff;
+  batch_backoff RelayedBatchBackoff;
   std::optional<bool> IsConnected;
   unsigned Failures = 0;
   bool HasListed = false;
--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -170,6 +170,15 @@
     Link->send(Listener.status());
 }
 
+void peer_hub::broadcast(const record_update &Update) {
+  for (auto &[Number, Link] : Accepted)
+    if (Link->hasStampedFrames())
+      Link->send(Update);
+  for (auto &[Node, Entry] : Dialled)
+    if (Entry.IsUp && Entry.Link->hasStampedFrames())
+      Entry.Link->send(Update);
+}
+
 void peer_hub::removePeer(const std::string &Node) {
   const auto Found = Dialled.find(Node);
   if (Found == Dialled.end())
--- a/modules/clementine_proxy/peers/peer_hub.h
+++ b/modules/clementine_proxy/peers/peer_hub.h
@@ -87,6 +87,8 @@
   void reply(std::uint64_t Link, const peer_message &Message);
   /// Sends the current status to every node that has dialled this one.
   void broadcastStatus();
+  /// Passes a record on over all links, in both directions.
+  void broadcast(const record_update &Update);
   /// Closes the link to a node that has left, and removes its entry.
   void removePeer(const std::string &Node);
 
--- a/modules/clementine_proxy/peers/peer_link.cpp
+++ b/modules/clementine_proxy/peers/peer_link.cpp
@@ -88,6 +88,7 @@
       break;
     if (Progress == frame_progress::Malformed)
       return close();
+    HasStampedFrames = SentAt.has_value();
     if (SentAt)
       reduceTimeLeft(Message, TransitDelay.measure(*SentAt, LastReceivedAt));
     Listener.linkMessage(shared_from_this(), std::move(Message));
--- a/modules/clementine_proxy/peers/peer_link.h
+++ b/modules/clementine_proxy/peers/peer_link.h
@@ -61,6 +61,9 @@
   /// @returns when bytes were last received.
   instant lastReceivedAt() const { return LastReceivedAt; }
   bool isOpen() const { return IsOpen; }
+  /// @returns whether the peer's frames say when they were sent, as they do
+  /// since the version that knows record_update.
+  bool hasStampedFrames() const { return HasStampedFrames; }
 
   /// The peer node; set when its hello arrives.
   std::optional<node_record> Peer;
@@ -78,6 +81,7 @@
   std::string Sending;
   instant LastReceivedAt;
   transit_delay TransitDelay;
+  bool HasStampedFrames = false;
   bool IsOpen = true;
 };
 
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -164,6 +164,10 @@
         std::chrono::duration_cast<std::chrono::microseconds>(Delay).count();
 }
 
+template <class Archive> void serialize(Archive &Target, record_update &Value) {
+  Target(Value.Record, Value.Revision);
+}
+
 std::string_view runOutcomeName(run_outcome Outcome) {
   switch (Outcome) {
   case run_outcome::Completed:
@@ -274,6 +278,11 @@
   serializeDeparture(Fields, Value.ReceiverDeparture);
 }
 
+template <class Archive>
+void serializeExtension(Archive &Fields, record_update &Value) {
+  serializeDeparture(Fields, Value.Record.Departed);
+}
+
 template <class Archive>
 void serializeExtension(Archive &Fields, peer_status &Value) {
   serializeDeparture(Fields, Value.Departed);
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -164,9 +164,21 @@
   bool operator==(const config_transfer &) const = default;
 };
 
+/// Passes on a record that the sender has read from the store. Sent only to
+/// nodes whose frames say when they were sent: an earlier version does not know
+/// this message.
+struct record_update {
+  node_record Record;
+  /// The store's revision of the record.
+  std::int64_t Revision = 0;
+
+  bool operator==(const record_update &) const = default;
+};
+
 using peer_message =
     std::variant<peer_hello, attempt_request, run_report, run_query, run_cancel,
-                 peer_probe, peer_status, config_request, config_transfer>;
+                 peer_probe, peer_status, config_request, config_transfer,
+                 record_update>;
 
 /// Takes the time that an attempt_request has waited on its way from the time
 /// that it has left. Does nothing for other messages.
--- a/tests/proxy/test_messages.cpp
+++ b/tests/proxy/test_messages.cpp
@@ -151,9 +151,16 @@
                              2,
                              {{"s", 3}}}};
   const std::vector<peer_message> Messages = {
-      peer_hello{},      AttemptRequest,   Report,
-      run_query{{3, 4}}, run_cancel{},     peer_probe{5},
-      peer_status{},     config_request{}, Transfer};
+      peer_hello{},
+      AttemptRequest,
+      Report,
+      run_query{{3, 4}},
+      run_cancel{},
+      peer_probe{5},
+      peer_status{},
+      config_request{},
+      Transfer,
+      record_update{{"n", 5, "z", {"10.0.0.1", 7000}, "s", "i-1", 65}, 9}};
   std::string Stream;
   for (const peer_message &Message : Messages)
     Stream += encodeFrame(Message);
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace clementine;
@@ -316,3 +317,42 @@
   CHECK(SeesUnknown);
   CHECK(SeesMissing);
 }
+
+TEST_CASE(
+    "each zone has two record relays, whoever computes them, and new ones "
+    "when they leave") {
+  std::vector<std::string> Nodes;
+  for (int Number = 0; Number < 40; ++Number)
+    Nodes.push_back("node-" + std::to_string(Number));
+  const auto RelaysOf = [](const std::vector<std::string> &Zone) {
+    std::vector<std::string> Relays;
+    for (const std::string &Node : Zone)
+      if (isRecordRelay(Node, Zone))
+        Relays.push_back(Node);
+    return Relays;
+  };
+  const auto Relays = RelaysOf(Nodes);
+  REQUIRE(Relays.size() == RelaysPerZone);
+  std::erase(Nodes, Relays[0]);
+  const auto Next = RelaysOf(Nodes);
+  REQUIRE(Next.size() == RelaysPerZone);
+  CHECK(std::ranges::count(Next, Relays[1]) == 1);
+  // A node that knows no other one reads for itself.
+  CHECK(isRecordRelay("alone", {}));
+}
+
+TEST_CASE("a relayed record brings news and never undoes what was read since") {
+  seeded_random Random(1);
+  instance_directory Directory({"own", "z"}, Random);
+  const instant Now{1000s};
+  const node_record Record{"n", 5, "z", {"10.0.0.1", 7000}, "svc", "i-1", 65};
+  Directory.relayedRecord(Record, true);
+  REQUIRE(Directory.choose("svc", {}, Now) != nullptr);
+  Directory.markRecordRemoved("n", Now);
+  Directory.relayedRecord(Record, false);
+  CHECK(Directory.find("n")->RecordRemovedAt.has_value());
+  CHECK(Directory.nodesOfZone("z").empty());
+  const node_record Own{"own", 5, "z", {"10.0.0.2", 7000}, "svc", "i-2", 65};
+  Directory.relayedRecord(Own, true);
+  CHECK(Directory.find("own") == nullptr);
+}
