--- a/modules/clementine_proxy/node/store_synchronizer.cpp
+++ b/modules/clementine_proxy/node/store_synchronizer.cpp
@@ -13,10 +13,18 @@
 
 namespace {
 
+/// The publisher of the record notices the end of an outage within a second and
+/// wakes the watchers, so that these need not ask as often meanwhile.
+store_task_settings watcherSettings() {
+  store_task_settings Watcher;
+  Watcher.MaxBackoff = std::chrono::milliseconds(4000);
+  return Watcher;
+}
+
 /// Records change in bursts when many nodes start. Urgent changes arrive over
 /// the links, so those from the store can be delayed and read in batches.
 store_task_settings recordTaskSettings() {
-  store_task_settings Records;
+  store_task_settings Records = watcherSettings();
   Records.BatchBackoff = {std::chrono::milliseconds(500),
                           std::chrono::milliseconds(6000)};
   Records.RelayedBatchBackoff = {std::chrono::milliseconds(4000),
@@ -35,7 +43,7 @@
     : Adapter(Adapter), Loop(Loop), Listener(Listener),
       Connected(Metrics.gaugeFor("clementine_store_connected",
                                  "Whether the store can be followed.")),
-      Config("config", Adapter.store(), Adapter.configKey(), {},
+      Config("config", Adapter.store(), Adapter.configKey(), watcherSettings(),
              configListener()),
       Records("nodes", Adapter.store(), std::string(RecordPrefix),
               recordTaskSettings(), recordListener()),
--- a/modules/clementine_proxy/node/store_tasks.cpp
+++ b/modules/clementine_proxy/node/store_tasks.cpp
@@ -161,6 +161,8 @@
 
 bool record_publisher::isStoreReachable() {
   const instant Now = monotonic_clock().now();
+  if (ReachedAt == instant())
+    ReachedAt = Now; // The watchers call the store at the start.
   if (Failures == 0 && Now - ReachedAt < Settings.IntervalsBetweenChecks *
                                              Settings.RenewInterval)
     return true;
