Proxy: record exchange, start of a process and stop times in files of their own

proxy_node.cpp had grown to 478 lines, forwarder.cpp to 413. record_exchange holds what keeps the directory up to date (store, relays, hellos), caller_deadline the reading of the caller's time, process_start the seed and the incarnation, stop_timing the times of a stop. No change of behaviour, but the first watch of records waits only if the first listing found any: after an outage of all nodes the records of the others are wanted at once.

--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -1,9 +1,9 @@
 #include "clementine_proxy/entry/forwarder.h"
 
+#include "clementine_proxy/entry/caller_deadline.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 #include <set>
 #include <utility>
@@ -52,19 +52,6 @@
   return true;
 }
 
-std::optional<duration>
-forwarder::callerTimeoutOf(const request &Request) const {
-  const auto Text = findHeader(Request.Headers, Names.Deadline);
-  std::int64_t Value = 0;
-  if (!Text ||
-      std::from_chars(Text->data(), Text->data() + Text->size(), Value).ec !=
-          std::errc() ||
-      Value < 0)
-    return std::nullopt;
-  constexpr milliseconds MaxCallerTimeout = std::chrono::hours(1);
-  return std::min(milliseconds(Value), MaxCallerTimeout);
-}
-
 void forwarder::begin(call_number Number, request Request, instant Now) {
   auto Call = std::make_shared<call>();
   Call->Number = Number;
@@ -87,8 +74,9 @@
   Call->Service = Services[Rotations[Call->Route->Name].next(Services)].Service;
   Call->TimeoutAt =
       Now +
-      std::min<duration>(Call->Route->Timeout,
-                         callerTimeoutOf(Request).value_or(duration::max()));
+      std::min<duration>(
+          Call->Route->Timeout,
+          callerTimeoutOf(Request, Names.Deadline).value_or(duration::max()));
   removeConnectionHeaders(Request.Headers);
   removeHeader(Request.Headers, Names.Deadline);
   removeHeader(Request.Headers, Names.ExpectedInstance);
@@ -287,10 +275,8 @@
 }
 
 void forwarder::answerAll(instant Now) {
-  std::vector<call_pointer> Unanswered;
-  for (const auto &[Number, Call] : Calls)
-    Unanswered.push_back(Call);
-  for (const call_pointer &Call : Unanswered) {
+  const auto Unanswered = Calls;
+  for (const auto &[Number, Call] : Unanswered) {
     if (Call->Attempt && Call->Attempt->IsSent && !Call->Attempt->IsCancelled)
       cancelOrFail(Call, Now);
     cancelOrFail(Call, Now);
--- a/modules/clementine_proxy/entry/forwarder.h
+++ b/modules/clementine_proxy/entry/forwarder.h
@@ -150,7 +150,6 @@
                          bool HasRetryAfter) const;
   void wakeAt(call &Call, instant Time);
   void erase(call &Call);
-  std::optional<duration> callerTimeoutOf(const request &Request) const;
 
   const forwarder_settings Settings;
   const header_names &Names;
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -12,7 +12,9 @@
 #include "clementine_proxy/node/instance_report_handler.h"
 #include "clementine_proxy/node/node_status_publisher.h"
 #include "clementine_proxy/node/operator_endpoints.h"
-#include "clementine_proxy/node/record_relay.h"
+#include "clementine_proxy/node/process_start.h"
+#include "clementine_proxy/node/record_exchange.h"
+#include "clementine_proxy/node/stop_timing.h"
 #include "clementine_proxy/node/store_synchronizer.h"
 #include "clementine_proxy/peers/peer_hub.h"
 #include "clementine_telemetry/clementine_telemetry.h"
@@ -23,11 +25,8 @@
 
 #include <algorithm>
 #include <future>
-#include <random>
 #include <utility>
 
-#include <sys/random.h>
-
 namespace clementine::proxy {
 
 namespace asio = boost::asio;
@@ -35,40 +34,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds HousekeepingInterval{200};
-/// How long callers take to stop using a node that is not ready: two failed
-/// readiness probes and a margin.
-constexpr std::chrono::milliseconds ReadinessPropagationTime{2600};
-/// How much of the stop grace is reserved for closing sockets and tasks.
-constexpr std::chrono::milliseconds StopMargin{800};
-/// Calls to the store are interrupted this long before the end of the stop
-/// grace, while requests still finish, since a call ends up to a second after
-/// its interruption.
-constexpr std::chrono::milliseconds StoreInterruptMargin{2200};
-constexpr std::chrono::milliseconds StopPollInterval{20};
-/// How long the final responses of a stop may take to be written.
-constexpr std::chrono::milliseconds ResponseWriteTime{200};
 /// How long a starting node waits for the record of its previous process.
 constexpr std::chrono::milliseconds PreviousRecordTimeout{1000};
 /// The maximum number of open connections to each of the listeners for control,
 /// readiness and metrics.
 constexpr std::size_t MaxLocalConnections = 64;
 
-/// Asks the kernel: std::random_device may use an instruction of the processor,
-/// which no tool that repeats a run can repeat.
-std::uint64_t randomSeed() {
-  std::uint64_t Seed = 0;
-  if (::getrandom(&Seed, sizeof(Seed), 0) != sizeof(Seed))
-    return std::random_device()();
-  return Seed;
-}
-
-std::uint64_t wallMilliseconds() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 } // namespace
 
 /// Owns the components of the node and connects them. Everything but the tasks
@@ -109,6 +80,9 @@
         MetricsServer(Loop, Settings.MetricsListen, MetricsHandler,
                       MaxLocalConnections),
         Store(Adapter, Loop, Settings.Name, Metrics, *this),
+        Records(
+            {Settings.Name, Settings.Zone, Directory, ReportHandler, Peers,
+             [this](bool IsPrompt) { Store.readRecordsPromptly(IsPrompt); }}),
         StatusPublisher({Settings, Registration, Gate, Directory, Peers, Store},
                         wallMilliseconds()),
         Root("proxy") {
@@ -188,47 +162,19 @@
     ConfigExchange.apply(Config, "store", Revision);
   }
 
-  void recordsListed(const std::vector<node_record> &Records,
+  void recordsListed(const std::vector<node_record> &Found,
                      platform_revision Revision) override {
-    Directory.replaceAll(Records, now());
-    recordsRead(Revision);
-    const auto Own =
-        std::ranges::find(Records, Settings.Name, &node_record::Node);
-    ReportHandler.startAccepting(Own == Records.end() ? std::nullopt
-                                                      : Own->Departed);
+    Records.listed(Found, Revision, now());
   }
 
   void recordChanged(const node_record &Record,
                      platform_revision Revision) override {
-    Directory.record(Record);
-    if (IsRelay)
-      Peers.broadcast({Record, Revision});
-    recordsRead(Revision);
+    Records.changed(Record, Revision);
   }
 
   void recordRemoved(const std::string &Node,
                      platform_revision Revision) override {
-    Directory.markRecordRemoved(Node, now());
-    recordsRead(Revision);
-  }
-
-  void recordsRead(platform_revision Revision) {
-    LastRecordRevision = std::max(LastRecordRevision, Revision);
-  }
-
-  void updateRelayRole() {
-    const bool WasRelay = std::exchange(
-        IsRelay,
-        isRecordRelay(Settings.Name, Directory.nodesOfZone(Settings.Zone)));
-    Store.readRecordsPromptly(IsRelay);
-    if (IsRelay != WasRelay)
-      Log.info(IsRelay ? "passes records on to other nodes"
-                       : "no longer passes records on");
-  }
-
-  void relayedRecord(const record_update &Update) {
-    Directory.relayedRecord(Update.Record,
-                            Update.Revision > LastRecordRevision);
+    Records.removed(Node, Revision, now());
   }
 
   void instanceChanged(bool IsNewRun) {
@@ -251,7 +197,7 @@
   }
 
   void peerUp(const std::string &Node, const peer_hello &Hello) override {
-    processRememberedDeparture(Hello);
+    Records.departureRemembered(Hello);
     Directory.markConnected(Node, Hello);
     Forwarder.linkUp(Node, Hello.Self.Incarnation, now());
     ConfigExchange.requestIfNewer(Node, Hello.ConfigVersion, now());
@@ -280,7 +226,7 @@
       Directory.departed(Node, Status->Departed);
       ConfigExchange.requestIfNewer(Node, Status->ConfigVersion, now());
     } else if (const auto *Update = std::get_if<record_update>(&Message)) {
-      relayedRecord(*Update);
+      Records.relayed(*Update);
     } else if (auto *Transfer = std::get_if<config_transfer>(&Message)) {
       ConfigExchange.apply(
           std::make_shared<const routing_config>(std::move(Transfer->Config)),
@@ -299,31 +245,19 @@
     else if (std::holds_alternative<config_request>(Message))
       ConfigExchange.sendCurrent(Link);
     else if (const auto *Update = std::get_if<record_update>(&Message))
-      relayedRecord(*Update);
+      Records.relayed(*Update);
     else if (const auto *Hello = std::get_if<peer_hello>(&Message))
       processHello(*Hello);
     schedule();
   }
 
-  /// Updates the directory from the hello of a connecting node, since the store
-  /// may be unavailable or report a new process of that node later.
   void processHello(const peer_hello &Hello) {
-    processRememberedDeparture(Hello);
+    Records.greeted(Hello);
     const known_gate *Gate = Directory.find(Hello.Self.Node);
-    if (Gate == nullptr || Gate->Record.Incarnation < Hello.Self.Incarnation)
-      Directory.record(Hello.Self);
-    Gate = Directory.find(Hello.Self.Node);
     if (Hello.ConfigVersion > Forwarder.configVersion() && Gate != nullptr)
       Peers.open(Hello.Self.Node, Gate->Record.Peer);
   }
 
-  /// A hello is processed before any order on its link, so that no node that
-  /// knows of a departure can send work to the departed run.
-  void processRememberedDeparture(const peer_hello &Hello) {
-    if (Hello.ReceiverDeparture)
-      ReportHandler.handleRememberedDeparture(*Hello.ReceiverDeparture);
-  }
-
   /// @name forward_port
   bool openLink(const node_record &Target) override {
     return Target.Node == Settings.Name || Peers.open(Target.Node, Target.Peer);
@@ -382,7 +316,7 @@
       Peers.removePeer(Node);
     }
     Forwarder.reopenLinks();
-    updateRelayRole();
+    Records.updateRelayRole();
     if (Registration.isHeld() && Now - StartedAt > PreviousRecordTimeout)
       ReportHandler.startAccepting(std::nullopt);
     Decisions.runDue(Now);
@@ -455,12 +389,10 @@
   http_listener Ready;
   http_listener MetricsServer;
   store_synchronizer Store;
+  record_exchange Records;
   node_status_publisher StatusPublisher;
   supervisor Root;
   const instant StartedAt = now();
-  /// The highest revision of a record that this node has read itself.
-  platform_revision LastRecordRevision = 0;
-  bool IsRelay = true;
   bool HasStoppedAccepting = false;
   instant LeavingSince;
 };
--- /dev/null
+++ b/modules/clementine_proxy/node/record_exchange.cpp
@@ -0,0 +1,66 @@
+#include "clementine_proxy/node/record_exchange.h"
+
+#include "clementine_proxy/node/record_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine::proxy {
+
+void record_exchange::listed(const std::vector<node_record> &Records,
+                             platform_revision Revision, instant Now) {
+  Dependencies.Directory.replaceAll(Records, Now);
+  noteRevision(Revision);
+  const auto Own =
+      std::ranges::find(Records, Dependencies.OwnNode, &node_record::Node);
+  Dependencies.Reports.startAccepting(Own == Records.end() ? std::nullopt
+                                                           : Own->Departed);
+}
+
+void record_exchange::changed(const node_record &Record,
+                              platform_revision Revision) {
+  Dependencies.Directory.record(Record);
+  if (IsRelay)
+    Dependencies.Peers.broadcast({Record, Revision});
+  noteRevision(Revision);
+}
+
+void record_exchange::removed(const std::string &Node,
+                              platform_revision Revision, instant Now) {
+  Dependencies.Directory.markRecordRemoved(Node, Now);
+  noteRevision(Revision);
+}
+
+void record_exchange::relayed(const record_update &Update) {
+  Dependencies.Directory.relayedRecord(Update.Record,
+                                       Update.Revision > LastRevision);
+}
+
+void record_exchange::departureRemembered(const peer_hello &Hello) {
+  if (Hello.ReceiverDeparture)
+    Dependencies.Reports.handleRememberedDeparture(*Hello.ReceiverDeparture);
+}
+
+void record_exchange::greeted(const peer_hello &Hello) {
+  departureRemembered(Hello);
+  const known_gate *Gate = Dependencies.Directory.find(Hello.Self.Node);
+  if (Gate == nullptr || Gate->Record.Incarnation < Hello.Self.Incarnation)
+    Dependencies.Directory.record(Hello.Self);
+}
+
+void record_exchange::updateRelayRole() {
+  const bool WasRelay = std::exchange(
+      IsRelay,
+      isRecordRelay(Dependencies.OwnNode,
+                    Dependencies.Directory.nodesOfZone(Dependencies.OwnZone)));
+  Dependencies.ReadPromptly(IsRelay);
+  if (IsRelay != WasRelay)
+    Log.info(IsRelay ? "passes records on to other nodes"
+                     : "no longer passes records on");
+}
+
+void record_exchange::noteRevision(platform_revision Revision) {
+  LastRevision = std::max(LastRevision, Revision);
+}
+
+} // namespace clementine::proxy
--- a/modules/clementine_proxy/node/store_tasks.cpp
+++ b/modules/clementine_proxy/node/store_tasks.cpp
@@ -77,7 +77,8 @@
   setConnected(true, nullptr);
   Failures = 0;
   Listener.Listed(Listed.value().Entries);
-  if (!std::exchange(HasListed, true) && Settings.FirstWatchDelay > duration(0))
+  const bool IsFirst = !std::exchange(HasListed, true);
+  if (IsFirst && !Listed.value().Entries.empty())
     Sleep.sleep(Settings.FirstWatchDelay, Stopping);
   const auto Ended = Store.watch(
       Prefix, Listed.value().Revision + 1,
--- a/modules/clementine_proxy/node/store_tasks.h
+++ b/modules/clementine_proxy/node/store_tasks.h
@@ -24,8 +24,8 @@
   batch_backoff_settings BatchBackoff;
   /// Replaces BatchBackoff while another node passes the changes on.
   batch_backoff_settings RelayedBatchBackoff;
-  /// How long the first watch waits after the first listing. All nodes of a
-  /// deployment may start at once, and each of them writes a record.
+  /// How long the first watch waits after the first listing, unless that was
+  /// empty. Where nodes restart, many records change at once.
   duration FirstWatchDelay{0};
   /// The duration of the lease that the node's record is attached to.
   std::chrono::seconds LeaseDuration{6};
--- a/tests/proxy/test_messages.cpp
+++ b/tests/proxy/test_messages.cpp
@@ -103,7 +103,7 @@
     std::string Buffer = Head + Start;
     std::size_t Fed = 0;
     while (Reader.read(Buffer) == read_progress::Incomplete &&
-           Fed < 1024 * 1024) {
+           Fed < std::size_t{1024} * 1024) {
       Buffer += std::string(4096, 'x');
       Fed += 4096;
     }
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -321,8 +321,10 @@
 TEST_CASE(
     "each zone has two record relays, whoever computes them, and new ones "
     "when they leave") {
+  constexpr int NodeCount = 40;
   std::vector<std::string> Nodes;
-  for (int Number = 0; Number < 40; ++Number)
+  Nodes.reserve(NodeCount);
+  for (int Number = 0; Number < NodeCount; ++Number)
     Nodes.push_back("node-" + std::to_string(Number));
   const auto RelaysOf = [](const std::vector<std::string> &Zone) {
     std::vector<std::string> Relays;
