Proxy: an aborted run gives its buffered bytes back; relays tell their zone only

Cause, found in the read-through: instance_client::abort() left the bytes of the unfinished answer in the sum that limits all of them, so that after many aborts every answer would have been refused.

--- a/modules/clementine_proxy/gate/instance_client.cpp
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -99,6 +99,7 @@
     if (IsClosed)
       return;
     IsClosed = true;
+    setBufferedBytes(0);
     Timer.cancel();
     boost::system::error_code Ignored; // The socket is discarded either way.
     Socket.close(Ignored);
--- a/modules/clementine_proxy/gate/instance_client.h
+++ b/modules/clementine_proxy/gate/instance_client.h
@@ -67,7 +67,9 @@
   void dropIdle();
   void stop();
 
-  /// @returns the most bytes that unfinished responses have held together.
+  /// @returns the bytes that unfinished responses hold together, and the most
+  /// that they have held.
+  std::uint64_t bufferedBytes() const { return BufferedBytes; }
   std::uint64_t mostBufferedBytes() const { return MostBufferedBytes; }
 
 private:
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -15,7 +15,6 @@
 #include "clementine_proxy/node/process_start.h"
 #include "clementine_proxy/node/record_exchange.h"
 #include "clementine_proxy/node/stop_timing.h"
-#include "clementine_proxy/node/store_synchronizer.h"
 #include "clementine_proxy/peers/peer_hub.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
@@ -46,8 +45,7 @@
 /// of the store runs on the event loop's thread.
 class proxy_node::implementation final : private peer_hub_listener,
                                          private forward_port,
-                                         private gate_port,
-                                         private store_listener {
+                                         private gate_port {
 public:
   implementation(proxy_settings Given, deployment_adapter &Adapter)
       : Settings(std::move(Given)), Adapter(Adapter), Random(randomSeed()),
@@ -79,10 +77,11 @@
         Ready(Loop, Settings.ReadyListen, ReadyHandler, MaxLocalConnections),
         MetricsServer(Loop, Settings.MetricsListen, MetricsHandler,
                       MaxLocalConnections),
-        Store(Adapter, Loop, Settings.Name, Metrics, *this),
         Records(
-            {Settings.Name, Settings.Zone, Directory, ReportHandler, Peers,
+            {Settings.Name, Settings.Zone, Directory, ConfigExchange,
+             ReportHandler, Peers,
              [this](bool IsPrompt) { Store.readRecordsPromptly(IsPrompt); }}),
+        Store(Adapter, Loop, Settings.Name, Metrics, Records),
         StatusPublisher({Settings, Registration, Gate, Directory, Peers, Store},
                         wallMilliseconds()),
         Root("proxy") {
@@ -156,27 +155,6 @@
     Root.add(Store.tasks());
   }
 
-  /// @name store_listener
-  void configRead(const std::shared_ptr<const routing_config> &Config,
-                  platform_revision Revision) override {
-    ConfigExchange.apply(Config, "store", Revision);
-  }
-
-  void recordsListed(const std::vector<node_record> &Found,
-                     platform_revision Revision) override {
-    Records.listed(Found, Revision, now());
-  }
-
-  void recordChanged(const node_record &Record,
-                     platform_revision Revision) override {
-    Records.changed(Record, Revision);
-  }
-
-  void recordRemoved(const std::string &Node,
-                     platform_revision Revision) override {
-    Records.removed(Node, Revision, now());
-  }
-
   void instanceChanged(bool IsNewRun) {
     if (IsNewRun)
       Client.dropIdle();
@@ -388,8 +366,8 @@
   http_listener Control;
   http_listener Ready;
   http_listener MetricsServer;
-  store_synchronizer Store;
   record_exchange Records;
+  store_synchronizer Store;
   node_status_publisher StatusPublisher;
   supervisor Root;
   const instant StartedAt = now();
--- a/modules/clementine_proxy/node/record_exchange.cpp
+++ b/modules/clementine_proxy/node/record_exchange.cpp
@@ -1,5 +1,6 @@
 #include "clementine_proxy/node/record_exchange.h"
 
+#include "clementine_proxy/model/boot_clock.h"
 #include "clementine_proxy/node/record_relay.h"
 
 #include <algorithm>
@@ -7,9 +8,15 @@
 
 namespace clementine::proxy {
 
-void record_exchange::listed(const std::vector<node_record> &Records,
-                             platform_revision Revision, instant Now) {
-  Dependencies.Directory.replaceAll(Records, Now);
+void record_exchange::configRead(
+    const std::shared_ptr<const routing_config> &Config,
+    platform_revision Revision) {
+  Dependencies.Configs.apply(Config, "store", Revision);
+}
+
+void record_exchange::recordsListed(const std::vector<node_record> &Records,
+                                    platform_revision Revision) {
+  Dependencies.Directory.replaceAll(Records, boot_clock().now());
   noteRevision(Revision);
   const auto Own =
       std::ranges::find(Records, Dependencies.OwnNode, &node_record::Node);
@@ -17,17 +24,17 @@
                                                            : Own->Departed);
 }
 
-void record_exchange::changed(const node_record &Record,
-                              platform_revision Revision) {
+void record_exchange::recordChanged(const node_record &Record,
+                                    platform_revision Revision) {
   Dependencies.Directory.record(Record);
   if (IsRelay)
-    Dependencies.Peers.broadcast({Record, Revision});
+    Dependencies.Peers.broadcast({Record, Revision}, Dependencies.OwnZone);
   noteRevision(Revision);
 }
 
-void record_exchange::removed(const std::string &Node,
-                              platform_revision Revision, instant Now) {
-  Dependencies.Directory.markRecordRemoved(Node, Now);
+void record_exchange::recordRemoved(const std::string &Node,
+                                    platform_revision Revision) {
+  Dependencies.Directory.markRecordRemoved(Node, boot_clock().now());
   noteRevision(Revision);
 }
 
--- a/modules/clementine_proxy/node/record_exchange.h
+++ b/modules/clementine_proxy/node/record_exchange.h
@@ -3,7 +3,9 @@
 
 #include "clementine_platform/clementine_platform.h"
 #include "clementine_proxy/entry/instance_directory.h"
+#include "clementine_proxy/node/config_exchange.h"
 #include "clementine_proxy/node/instance_report_handler.h"
+#include "clementine_proxy/node/store_synchronizer.h"
 #include "clementine_proxy/peers/peer_hub.h"
 
 #include <functional>
@@ -14,14 +16,16 @@
 
 /// Keeps the directory up to date with the records of all nodes: from the
 /// store, from relays (see isRecordRelay()) and from the hellos of nodes that
-/// link to this one. Runs on the event loop's thread.
-class record_exchange {
+/// link to this one. Passes configurations from the store on to the
+/// config_exchange. Runs on the event loop's thread.
+class record_exchange final : public store_listener {
 public:
   /// The components that it updates; all have to outlive it.
   struct dependencies {
     const std::string &OwnNode;
     const std::string &OwnZone;
     instance_directory &Directory;
+    config_exchange &Configs;
     instance_report_handler &Reports;
     peer_hub &Peers;
     /// Sets whether this node reads changes of records promptly.
@@ -34,14 +38,15 @@
   record_exchange(const record_exchange &) = delete;
   record_exchange &operator=(const record_exchange &) = delete;
 
-  /// @name Reads from the store
-  /// @param Revision the store's revision of the change, or the highest one
-  /// among the listed records.
-  void listed(const std::vector<node_record> &Records,
-              platform_revision Revision, instant Now);
-  void changed(const node_record &Record, platform_revision Revision);
-  void removed(const std::string &Node, platform_revision Revision,
-               instant Now);
+  /// @name store_listener
+  void configRead(const std::shared_ptr<const routing_config> &Config,
+                  platform_revision Revision) override;
+  void recordsListed(const std::vector<node_record> &Records,
+                     platform_revision Revision) override;
+  void recordChanged(const node_record &Record,
+                     platform_revision Revision) override;
+  void recordRemoved(const std::string &Node,
+                     platform_revision Revision) override;
 
   /// @name Messages of other nodes
   void relayed(const record_update &Update);
--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -170,13 +170,16 @@
     Link->send(Listener.status());
 }
 
-void peer_hub::broadcast(const record_update &Update) {
+void peer_hub::broadcast(const record_update &Update, const std::string &Zone) {
+  const auto SendTo = [&](peer_link &Link) {
+    if (Link.hasStampedFrames() && Link.Peer && Link.Peer->Zone == Zone)
+      Link.send(Update);
+  };
   for (auto &[Number, Link] : Accepted)
-    if (Link->hasStampedFrames())
-      Link->send(Update);
+    SendTo(*Link);
   for (auto &[Node, Entry] : Dialled)
-    if (Entry.IsUp && Entry.Link->hasStampedFrames())
-      Entry.Link->send(Update);
+    if (Entry.IsUp)
+      SendTo(*Entry.Link);
 }
 
 void peer_hub::removePeer(const std::string &Node) {
--- a/modules/clementine_proxy/peers/peer_hub.h
+++ b/modules/clementine_proxy/peers/peer_hub.h
@@ -87,8 +87,8 @@
   void reply(std::uint64_t Link, const peer_message &Message);
   /// Sends the current status to every node that has dialled this one.
   void broadcastStatus();
-  /// Passes a record on over all links, in both directions.
-  void broadcast(const record_update &Update);
+  /// Passes a record on over the links with nodes of @p Zone, whoever dialled.
+  void broadcast(const record_update &Update, const std::string &Zone);
   /// Closes the link to a node that has left, and removes its entry.
   void removePeer(const std::string &Node);
 
--- a/tests/proxy/test_endless_answers.cpp
+++ b/tests/proxy/test_endless_answers.cpp
@@ -189,6 +189,18 @@
         instance_client_settings().MaxBufferedBytes);
 }
 
+TEST_CASE(
+    "an aborted run no longer counts towards the limit on buffered bytes") {
+  fixture Test(Head + "\r\n", std::string(65536, 'x'));
+  Test.call(1);
+  const instant End = boot_clock().now() + LimitOnWaiting;
+  while (Test.Client.bufferedBytes() < 65536 && boot_clock().now() < End)
+    Test.Loop.run_one_for(20ms);
+  REQUIRE(Test.Client.bufferedBytes() >= 65536);
+  Test.Client.abort({1, 1});
+  CHECK(Test.Client.bufferedBytes() == 0);
+}
+
 TEST_CASE("bytes beyond the length of an answer close its connection and do "
           "not harm it") {
   fixture Test(Head + "Content-Length: 2\r\n\r\nok", std::string(4096, 'x'));
