Logs: say on what kind of connection a request is accepted during a stop

Cause: nothing said how a request came in after a stop had begun, so the hypotheses of docs/incidents/2026-12-05-request-taken-during-a-stop.md could not be told apart. Change: one line for each such request, with the number of requests pending on its connection and whether it is the connection's first.

--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -106,6 +106,11 @@
 }
 
 void http_session::accept(request Request) {
+  if (Handler.isClosing())
+    log().info("request accepted during the stop",
+               {{"pending", Exchanges.size()},
+                {"first", HasAcceptedRequest ? 0 : 1},
+                {"target", Request.Target}});
   HasAcceptedRequest = true;
   auto Exchange = std::make_shared<exchange>();
   Exchange->KeepsAlive = Request.KeepsAlive;
