Stop: each connection is told once on which answer it ends

Cause: whether a connection closes was decided with each answer, by whether it was the last one pending. On a connection on which requests overlap no answer is ever the last, and connections that the stop had spared (new, partly read, with unread input) were not looked at again. Class: a stop that waits for a state to come about instead of deciding. Change: http_session::beginClosing() marks the last request accepted so far as the one behind which the connection ends; a spared connection accepts one request at most and is checked again by its timer. What is read later than 2.9 s after SIGTERM is refused as not run. handler::isClosing() is gone. Two tests of the session call beginClosing() where they set isClosing(); what they check is unchanged.

--- a/extras/stand_in_users_platform/local_mesh.cpp
+++ b/extras/stand_in_users_platform/local_mesh.cpp
@@ -206,6 +206,10 @@
   return Machines.at(Machine).Service;
 }
 
+endpoint local_mesh::outboundOf(const std::string &Machine) const {
+  return {Machines.at(Machine).Host, OutboundPort};
+}
+
 std::string local_mesh::explain(const std::string &RequestId) const {
   std::vector<std::string> Arguments = {"explain-request", RequestId};
   for (const std::string &Name : Names)
@@ -235,7 +239,7 @@
                                      const std::string &Method,
                                      const std::string &Id,
                                      http_client::connection Connection) {
-  const endpoint Node{Machines.at(Machine).Host, OutboundPort};
+  const endpoint Node = outboundOf(Machine);
   return Client
       .send(
           Method, "http://" + Node.text() + Path,
--- a/extras/stand_in_users_platform/local_mesh.h
+++ b/extras/stand_in_users_platform/local_mesh.h
@@ -89,6 +89,8 @@
   std::string logOf(const std::string &Machine) const;
   /// @returns the output of `clementinectl explain-request` for a request.
   std::string explain(const std::string &RequestId) const;
+  /// @returns the address at which the node of @p Machine accepts requests.
+  endpoint outboundOf(const std::string &Machine) const;
   const std::string &serviceOf(const std::string &Machine) const;
   /// The folder of the processes' logs; removed by the destructor.
   const std::string &folder() const { return Folder; }
--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -60,9 +60,9 @@
   Call->WakeAt = instant::max();
   Call->Routes = Routes;
   Calls.emplace(Number, Call);
-  if (!Routes)
-    return finish(*Call, localResponse(*Call, Unavailable, true), "no-config",
-                  Now);
+  if (!Routes || Now >= RefusesFrom)
+    return finish(*Call, localResponse(*Call, Unavailable, true),
+                  Routes ? "stopping" : "no-config", Now);
   const auto Host = findHeader(Request.Headers, "Host").value_or("");
   Call->Route = Routes->find(Host, Request.path());
   if (Call->Route == nullptr)
--- a/modules/clementine_proxy/entry/forwarder.h
+++ b/modules/clementine_proxy/entry/forwarder.h
@@ -83,6 +83,10 @@
   /// Ends a call whose caller has disconnected, and cancels its attempt.
   void callerDisconnected(call_number Call, instant Now);
 
+  /// Refuses the requests that begin at @p Time or later: the process ends
+  /// before they could finish.
+  void refuseFrom(instant Time) { RefusesFrom = Time; }
+
   /// Answers every request that has no response yet, without waiting for its
   /// gate: the process ends.
   void answerAll(instant Now);
@@ -157,6 +161,7 @@
   forward_port &Port;
   random_source &Random;
   std::shared_ptr<const route_table> Routes;
+  instant RefusesFrom = instant::max();
   std::unordered_map<call_number, call_pointer> Calls;
   std::unordered_map<attempt_id, call_pointer, request_id_hash> CallsByAttempt;
   std::multimap<instant, call_number> Wakes;
--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -106,16 +106,16 @@
 }
 
 void http_session::accept(request Request) {
-  if (Handler.isClosing())
-    log().info("request accepted during the stop",
+  if (IsClosing)
+    log().info("request accepted while the connection is closing",
                {{"pending", Exchanges.size()},
                 {"first", HasAcceptedRequest ? 0 : 1},
                 {"target", Request.Target}});
   HasAcceptedRequest = true;
   auto Exchange = std::make_shared<exchange>();
-  Exchange->KeepsAlive = Request.KeepsAlive;
+  Exchange->KeepsAlive = Request.KeepsAlive && !IsClosing;
   Exchange->IsForHead = Request.Method == "HEAD";
-  IsEnding = !Request.KeepsAlive;
+  IsEnding = !Exchange->KeepsAlive;
   Exchanges.push_back(Exchange);
   Handler.handle(
       std::move(Request),
@@ -149,13 +149,9 @@
     return;
   while (!Exchanges.empty() && Exchanges.front()->Response) {
     const auto Exchange = Exchanges.front();
-    const bool IsLast = Exchanges.size() == 1;
-    const bool Closes =
-        !Exchange->KeepsAlive || (IsLast && Handler.isClosing());
-    Unsent += serialized(*Exchange->Response, Closes, Exchange->IsForHead);
+    Unsent += serialized(*Exchange->Response, !Exchange->KeepsAlive,
+                         Exchange->IsForHead);
     Exchanges.pop_front();
-    if (Closes)
-      IsEnding = true;
   }
   if (!Unsent.empty())
     write();
@@ -171,25 +167,31 @@
       Socket, asio::buffer(Sending),
       [Self = shared_from_this()](const auto &Error, std::size_t /*Bytes*/) {
         Self->IsWriting = false;
-        Self->Sending.clear();
-        if (Self->Sending.capacity() > ReadChunkBytes)
-          Self->Sending.shrink_to_fit();
-        if (Self->IsClosed)
-          return;
-        if (Error)
-          return Self->disconnect();
-        if (!Self->Unsent.empty())
-          return Self->write();
-        if (Self->Exchanges.empty()) {
-          if (Self->IsEnding)
-            return Self->close();
-          Self->IdleSince = now();
-        }
-        Self->parse();
-        Self->read();
+        Self->writeDone(Error);
       });
 }
 
+void http_session::writeDone(const boost::system::error_code &Error) {
+  Sending.clear();
+  if (Sending.capacity() > ReadChunkBytes)
+    Sending.shrink_to_fit();
+  if (IsClosed)
+    return;
+  if (Error)
+    return disconnect();
+  if (!Unsent.empty())
+    return write();
+  if (Exchanges.empty()) {
+    IdleSince = now();
+    if (IsEnding)
+      return close();
+  }
+  parse();
+  if (IsClosing)
+    closeIfIdle();
+  read();
+}
+
 void http_session::disconnect() {
   std::deque<std::shared_ptr<exchange>> Unanswered;
   Unanswered.swap(Exchanges);
@@ -210,19 +212,35 @@
   Timer.cancel();
 }
 
+void http_session::beginClosing() {
+  IsClosing = true;
+  if (Exchanges.empty())
+    return closeIfIdle();
+  Exchanges.back()->KeepsAlive = false;
+  IsEnding = true;
+}
+
 void http_session::closeIfIdle() {
-  boost::system::error_code Error;
-  const bool HasUnreadInput = Socket.available(Error) > 0 && !Error;
-  if (!isBusy() && !isAwaitingFirstRequest() && !Reader.hasPartialRequest() &&
-      !HasUnreadInput)
+  if (!IsClosed && !isBusy() && !isAwaitingFirstRequest() &&
+      !Reader.hasPartialRequest() && !hasUnreadInput())
     close();
 }
 
+bool http_session::hasUnreadInput() {
+  boost::system::error_code Error;
+  return Socket.available(Error) > 0 && !Error;
+}
+
 bool http_session::isAwaitingFirstRequest() const {
   return !HasAcceptedRequest && !IsClosed &&
          now() - IdleSince < FirstRequestGrace;
 }
 
+bool http_session::isInUse() const {
+  return isBusy() || isAwaitingFirstRequest() ||
+         (Reader.hasPartialRequest() && !IsClosed);
+}
+
 void http_session::scheduleTimeoutCheck() {
   Timer.expires_after(TimeoutCheckInterval);
   Timer.async_wait([Session = weak_from_this()](const auto &Error) {
@@ -253,8 +271,8 @@
     Response.Status = RequestTimeout;
     return complete(Exchange, std::move(Response));
   }
-  if (Now - IdleSince > Limits.IdleTimeout)
-    close();
+  if (IsClosing || Now - IdleSince > Limits.IdleTimeout)
+    closeIfIdle();
 }
 
 http_listener::http_listener(asio::io_context &Loop, endpoint Listen,
@@ -319,14 +337,20 @@
   AcceptRetryTimer.cancel();
   for (const auto &Each : Sessions)
     if (const auto Session = Each.lock())
-      Session->closeIfIdle();
+      Session->beginClosing();
 }
 
-bool http_listener::isBusy() const {
-  return std::any_of(Sessions.begin(), Sessions.end(), [](const auto &Each) {
+bool http_listener::anySession(bool (http_session::*Is)() const) const {
+  return std::any_of(Sessions.begin(), Sessions.end(), [Is](const auto &Each) {
     const auto Session = Each.lock();
-    return Session && (Session->isBusy() || Session->isAwaitingFirstRequest());
+    return Session && ((*Session).*Is)();
   });
 }
 
+bool http_listener::isBusy() const { return anySession(&http_session::isBusy); }
+
+bool http_listener::isInUse() const {
+  return anySession(&http_session::isInUse);
+}
+
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/http/http_session.h
+++ b/modules/clementine_proxy/http/http_session.h
@@ -32,13 +32,15 @@
                       disconnect_callback &OnDisconnect) = 0;
   /// @returns the limits for new connections.
   virtual caller_limits limits() const = 0;
-  /// @returns whether connections are closed after their last pending response.
-  virtual bool isClosing() const = 0;
 };
 
 /// One client connection. Pipelined requests are read while earlier ones are in
 /// progress; responses are sent in the order of the requests. Pending reads and
 /// writes keep the object alive.
+///
+/// The connection ends behind a response that says "Connection: close"; no
+/// request is accepted behind the one that it answers. See
+/// docs/design/closing.md for what ends a connection in each state.
 class http_session final : public std::enable_shared_from_this<http_session> {
 public:
   /// Maximum size of a single read.
@@ -51,7 +53,7 @@
   /// A write that takes longer than this closes the connection.
   static constexpr std::chrono::seconds WriteTimeout{10};
   /// How long the first request of a new connection is waited for when the
-  /// listener stops: the client may have sent it already.
+  /// connection is to be closed: the client may have sent it already.
   static constexpr std::chrono::milliseconds FirstRequestGrace{500};
 
   http_session(boost::asio::ip::tcp::socket Socket, http_handler &Handler);
@@ -60,14 +62,15 @@
   http_session &operator=(const http_session &) = delete;
 
   void start();
-  /// Closes the connection if no request is in progress, partly read or waiting
-  /// to be read, and none is expected as the first one of a new connection.
-  void closeIfIdle();
+  /// Ends the connection behind the last request accepted so far. If there is
+  /// none, ends it behind the request that is partly read, waiting to be read
+  /// or expected as the first one of a new connection, or at once.
+  void beginClosing();
   /// @returns whether a request is in progress or a response is being written.
   bool isBusy() const { return !Exchanges.empty() || IsWriting; }
-  /// @returns whether the connection is so new that its first request may still
-  /// be on its way.
-  bool isAwaitingFirstRequest() const;
+  /// @returns whether ending the process now would cut off a client: the
+  /// session is busy, reads a request or awaits the first one.
+  bool isInUse() const;
 
 private:
   struct exchange {
@@ -85,6 +88,10 @@
   void complete(const std::shared_ptr<exchange> &Exchange, response Response);
   void flush();
   void write();
+  void writeDone(const boost::system::error_code &Error);
+  void closeIfIdle();
+  bool isAwaitingFirstRequest() const;
+  bool hasUnreadInput();
   void disconnect();
   void close();
   void scheduleTimeoutCheck();
@@ -105,6 +112,8 @@
   instant WriteSince;
   bool IsReading = false;
   bool IsWriting = false;
+  /// The connection is ended as soon as no request is in progress or expected.
+  bool IsClosing = false;
   /// No further requests are parsed on this connection.
   bool IsEnding = false;
   bool IsClosed = false;
@@ -123,13 +132,16 @@
 
   /// @throws boost::system::system_error when the address cannot be bound.
   void start();
-  /// Accepts the connections that wait to be accepted, then no more, and closes
-  /// idle ones.
+  /// Accepts the connections that wait to be accepted, then no more, and begins
+  /// to close each connection.
   void stop();
-  /// @returns whether any session is busy or awaits its first request.
+  /// @returns whether any session is busy.
   bool isBusy() const;
+  /// @returns whether any session is in use.
+  bool isInUse() const;
 
 private:
+  bool anySession(bool (http_session::*Is)() const) const;
   void accept();
   void acceptQueued();
   void addSession(boost::asio::ip::tcp::socket Socket);
--- a/modules/clementine_proxy/node/caller_request_handler.h
+++ b/modules/clementine_proxy/node/caller_request_handler.h
@@ -26,13 +26,10 @@
   /// Sends the forwarder's response to the caller. Does nothing if the caller
   /// has disconnected.
   void answer(call_number Call, response Response);
-  /// From now on each connection is closed after its response.
-  void beginClosing() { ClosesConnections = true; }
 
   void handle(request Request, responder Respond,
               disconnect_callback &OnDisconnect) override;
   caller_limits limits() const override;
-  bool isClosing() const override { return ClosesConnections; }
 
 private:
   struct pending_call {
@@ -46,7 +43,6 @@
   latency_histogram &Latency;
   std::unordered_map<call_number, pending_call> PendingCalls;
   call_number LastCall = 0;
-  bool ClosesConnections = false;
 };
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/operator_endpoints.h
+++ b/modules/clementine_proxy/node/operator_endpoints.h
@@ -17,7 +17,6 @@
     Respond(answerTo(Request));
   }
   caller_limits limits() const override { return {}; }
-  bool isClosing() const override { return false; }
 
 protected:
   virtual response answerTo(const request &Request) = 0;
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -138,16 +138,21 @@
     Done.get_future().wait();
   }
 
-  void answerRemainingCalls() {
-    runOnLoop([this] { Forwarder.answerAll(now()); });
-    bool IsWritten = false;
-    for (const instant End = now() + ResponseWriteTime;
-         !IsWritten && now() < End;) {
+  /// Polls @p Condition on the loop until it is true or @p Span has passed.
+  template <class Predicate>
+  void awaitOnLoop(const Predicate &Condition, duration Span) {
+    bool IsMet = false;
+    for (const instant End = now() + Span; !IsMet && now() < End;) {
       std::this_thread::sleep_for(StopPollInterval);
-      runOnLoop([&] { IsWritten = !Outbound.isBusy(); });
+      runOnLoop([&] { IsMet = Condition(); });
     }
   }
 
+  void answerRemainingCalls() {
+    runOnLoop([this] { Forwarder.answerAll(now()); });
+    awaitOnLoop([this] { return !Outbound.isBusy(); }, ResponseWriteTime);
+  }
+
   /// The loop starts first and stops last: the tasks of the store post to it.
   void addTasks() {
     Root.add(makeCriticalTask(
@@ -311,14 +316,14 @@
   /// @name Stopping
   void leave() {
     LeavingSince = now();
+    Forwarder.refuseFrom(LeavingSince + RequestAcceptanceTime);
     StatusPublisher.leave();
   }
 
-  /// Accepts no new connections and closes each persistent one after its
-  /// response: calls accepted later could not finish within the stop grace.
+  /// Accepts no new connections and closes each persistent one behind the last
+  /// request accepted on it.
   void stopAcceptingCalls() {
     HasStoppedAccepting = true;
-    CallerHandler.beginClosing();
     Outbound.stop();
     Log.info("no longer accepting caller connections",
              {{"active", Forwarder.active()}});
@@ -326,7 +331,7 @@
 
   bool isIdle() const {
     return HasStoppedAccepting && Forwarder.active() == 0 &&
-           Gate.active() == 0 && !Outbound.isBusy();
+           Gate.active() == 0 && !Outbound.isInUse();
   }
 
   void close() {
--- a/modules/clementine_proxy/node/stop_timing.h
+++ b/modules/clementine_proxy/node/stop_timing.h
@@ -8,6 +8,10 @@
 /// How long callers take to stop using a node that is not ready: two failed
 /// readiness probes and a margin.
 constexpr std::chrono::milliseconds ReadinessPropagationTime{2600};
+/// How long after the start of a stop requests are accepted. What is accepted
+/// later, on a connection that is still being read, could not finish within the
+/// stop grace and is refused.
+constexpr std::chrono::milliseconds RequestAcceptanceTime{2900};
 /// How much of the stop grace is reserved for closing sockets and tasks.
 constexpr std::chrono::milliseconds StopMargin{800};
 /// Calls to the store are interrupted this long before the end of the stop
--- a/tests/proxy/test_forwarder.cpp
+++ b/tests/proxy/test_forwarder.cpp
@@ -383,3 +383,17 @@
   CHECK(Test.Directory.prune(IsDown, Test.Now).size() == 1);
   CHECK(Test.Directory.size() == 1);
 }
+
+TEST_CASE("a request that begins too late to finish before the process ends is "
+          "refused as not run") {
+  fixture Test;
+  Test.Forwarder.refuseFrom(Test.Now + 10ms);
+  const call_number Before = Test.begin("/book/1");
+  Test.Now += 10ms;
+  const call_number After = Test.begin("/book/2");
+  CHECK_FALSE(Test.Port.Answers.contains(Before));
+  REQUIRE(Test.Port.Answers.contains(After));
+  CHECK(Test.Port.Answers.at(After).Status == 503);
+  CHECK(findHeader(Test.Port.Answers.at(After).Headers, "Retry-After"));
+  CHECK(Test.Port.Sent.size() == 1);
+}
--- a/tests/proxy/test_session.cpp
+++ b/tests/proxy/test_session.cpp
@@ -25,7 +25,6 @@
     OnDisconnect = [this] { ++Disconnects; };
   }
   caller_limits limits() const override { return {}; }
-  bool isClosing() const override { return Closes; }
 
   void respond(std::size_t Index) {
     response Response;
@@ -37,7 +36,6 @@
   std::vector<request> Requests;
   std::vector<responder> Responders;
   int Disconnects = 0;
-  bool Closes = false;
 };
 
 /// @returns a port of the loopback interface that is free at the moment.
@@ -150,8 +148,7 @@
   fixture Test;
   Test.send(fixture::requestFor("/a"));
   REQUIRE(Test.runUntil([&] { return !Test.Handler.Requests.empty(); }));
-  Test.Session->closeIfIdle();
-  Test.Handler.Closes = true;
+  Test.Session->beginClosing();
   Test.Handler.respond(0);
   CHECK(Test.receive("/a").find("Connection: close") != std::string::npos);
 }
@@ -167,7 +164,6 @@
           "answered") {
   asio::io_context Loop;
   deferred_handler Handler;
-  Handler.Closes = true;
   const endpoint Address{"127.0.0.1", freePort()};
   http_listener Listener(Loop, Address, Handler, 100);
   Listener.start();
@@ -210,9 +206,56 @@
   Test.Loop.restart();
   Test.Loop.run_for(std::chrono::milliseconds(10));
   Test.send(fixture::requestFor("/b"));
-  Test.Handler.Closes = true;
-  Test.Session->closeIfIdle();
+  Test.Session->beginClosing();
   REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 2; }));
   Test.Handler.respond(1);
   CHECK(Test.receive("/b").find("Connection: close") != std::string::npos);
 }
+
+TEST_CASE("a connection on which requests overlap accepts no more of them once "
+          "it is closing") {
+  fixture Test;
+  Test.send(fixture::requestFor("/a") + fixture::requestFor("/b"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 2; }));
+  Test.Session->beginClosing();
+  Test.Handler.respond(0);
+  Test.receive("/a");
+  Test.send(fixture::requestFor("/c"));
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(20));
+  Test.Handler.respond(1);
+  const std::string Bytes = Test.receive("\r\n\r\n/b");
+  CHECK(Bytes.find("Connection: close") > Bytes.find("/a"));
+  CHECK(Bytes.find("Connection: close") < Bytes.find("\r\n\r\n/b"));
+  CHECK(Test.Handler.Requests.size() == 2);
+}
+
+TEST_CASE(
+    "a request that is partly read when its connection begins to close is "
+    "the last one") {
+  fixture Test;
+  Test.send("GET /a HTTP/1.1\r\n");
+  REQUIRE(Test.runUntil([&] { return Test.Session->isInUse(); }));
+  Test.Session->beginClosing();
+  Test.send("Host: h\r\n\r\n" + fixture::requestFor("/b"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+  Test.Handler.respond(0);
+  CHECK(Test.receive("/a").find("Connection: close") != std::string::npos);
+  CHECK(Test.Handler.Requests.size() == 1);
+}
+
+TEST_CASE("a new connection that was spared when it began to close is closed "
+          "later if its first request does not come") {
+  fixture Test;
+  Test.Session->beginClosing();
+  CHECK(Test.Session->isInUse());
+  const std::weak_ptr<http_session> Session = Test.Session;
+  Test.Session.reset();
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(1600));
+  boost::system::error_code Error;
+  char Byte = 0;
+  Test.Client.non_blocking(true);
+  Test.Client.read_some(asio::buffer(&Byte, 1), Error);
+  CHECK(Error == asio::error::eof);
+}
