HTTP server: a connection that ends lets its last answer arrive

Cause: the session closed its socket as soon as the kernel had taken the bytes. A socket that is closed with unread input, or that receives more, is reset, and the reset discards what is under way. Class: a connection that ends under an answer.

--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -1,5 +1,6 @@
 #include "clementine_proxy/http/http_session.h"
 
+#include "clementine_proxy/http/lingering_close.h"
 #include "clementine_proxy/model/boot_clock.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
@@ -65,6 +66,8 @@
       asio::buffer(ReadBuffer),
       [Self = shared_from_this()](const auto &Error, std::size_t Bytes) {
         Self->IsReading = false;
+        if (Self->IsLingering)
+          return Self->startLingering();
         Self->Input.append(Self->ReadBuffer.data(), Bytes);
         Self->readDone(Error, Bytes);
       });
@@ -184,7 +187,7 @@
   if (Exchanges.empty()) {
     IdleSince = now();
     if (IsEnding)
-      return close();
+      return closeGracefully();
   }
   parse();
   if (IsClosing)
@@ -212,6 +215,29 @@
   Timer.cancel();
 }
 
+/// Closes the connection so that the responses written last reach the client;
+/// they have if the connection has been idle for longer.
+void http_session::closeGracefully() {
+  if (IsClosed)
+    return;
+  LingerTimeout = lingering_close_limits().Timeout - (now() - IdleSince);
+  if (LingerTimeout <= duration(0))
+    return close();
+  IsClosed = true;
+  IsLingering = true;
+  Timer.cancel();
+  if (!IsReading)
+    return startLingering();
+  boost::system::error_code Ignored; // The read fails in any case.
+  Socket.cancel(Ignored);
+}
+
+void http_session::startLingering() {
+  lingering_close::start(
+      std::move(Socket), {.Timeout = LingerTimeout},
+      [Self = shared_from_this()] { Self->IsLingering = false; });
+}
+
 void http_session::beginClosing() {
   IsClosing = true;
   if (Exchanges.empty())
@@ -223,7 +249,7 @@
 void http_session::closeIfIdle() {
   if (!IsClosed && !isBusy() && !isAwaitingFirstRequest() &&
       !Reader.hasPartialRequest() && !hasUnreadInput())
-    close();
+    closeGracefully();
 }
 
 bool http_session::hasUnreadInput() {
@@ -237,7 +263,7 @@
 }
 
 bool http_session::isInUse() const {
-  return isBusy() || isAwaitingFirstRequest() ||
+  return IsLingering || isBusy() || isAwaitingFirstRequest() ||
          (Reader.hasPartialRequest() && !IsClosed);
 }
 
--- a/modules/clementine_proxy/http/http_session.h
+++ b/modules/clementine_proxy/http/http_session.h
@@ -69,7 +69,8 @@
   /// @returns whether a request is in progress or a response is being written.
   bool isBusy() const { return !Exchanges.empty() || IsWriting; }
   /// @returns whether ending the process now would cut off a client: the
-  /// session is busy, reads a request or awaits the first one.
+  /// session is busy, reads a request, awaits the first one, or its last
+  /// response may not have reached the client yet.
   bool isInUse() const;
 
 private:
@@ -94,6 +95,8 @@
   bool hasUnreadInput();
   void disconnect();
   void close();
+  void closeGracefully();
+  void startLingering();
   void scheduleTimeoutCheck();
   void checkTimeouts();
 
@@ -117,6 +120,10 @@
   /// No further requests are parsed on this connection.
   bool IsEnding = false;
   bool IsClosed = false;
+  /// The connection is closed for this session, but the client may still be
+  /// reading its last response.
+  bool IsLingering = false;
+  duration LingerTimeout{0};
   bool HasSentContinue = false;
   bool HasAcceptedRequest = false;
 };
--- a/tests/proxy/test_session.cpp
+++ b/tests/proxy/test_session.cpp
@@ -29,13 +29,15 @@
   void respond(std::size_t Index) {
     response Response;
     Response.Status = 200;
-    Response.Body = Requests[Index].Target;
+    Response.Body = Body.empty() ? Requests[Index].Target : Body + "/end";
     Responders[Index](Response);
   }
 
   std::vector<request> Requests;
   std::vector<responder> Responders;
   int Disconnects = 0;
+  /// Sent with each response in place of the target of its request.
+  std::string Body;
 };
 
 /// @returns a port of the loopback interface that is free at the moment.
@@ -259,3 +261,34 @@
   Test.Client.read_some(asio::buffer(&Byte, 1), Error);
   CHECK(Error == asio::error::eof);
 }
+
+TEST_CASE(
+    "the last response reaches a client that sends its next request before "
+    "it has read it") {
+  fixture Test;
+  Test.Handler.Body = std::string(std::size_t{256} << 10U, 'x');
+  Test.Client.set_option(tcp::socket::receive_buffer_size(4096));
+  Test.send(fixture::requestFor("/a"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+  Test.Session->beginClosing();
+  Test.Handler.respond(0);
+  for (int Read = 0; Read < 300; ++Read) {
+    Test.Loop.restart();
+    Test.Loop.run_for(std::chrono::milliseconds(1));
+    if (Read % 10 == 0) {
+      boost::system::error_code Ignored; // The response counts.
+      asio::write(Test.Client, asio::buffer(fixture::requestFor("/b")),
+                  Ignored);
+    }
+    std::string Bytes(2048, '\0');
+    if (Test.Client.available() > 0)
+      Bytes.resize(Test.Client.read_some(asio::buffer(Bytes)));
+    else
+      Bytes.clear();
+    Test.Received += Bytes;
+  }
+  Test.receive("x/end");
+  CHECK(Test.Received.ends_with("x/end"));
+  CHECK(Test.Received.size() > Test.Handler.Body.size());
+  CHECK(Test.Handler.Requests.size() == 1);
+}
