Links: a node that stops lets its last reports arrive

What callers could see: a request that a stopping node's instance had finished, answered 502 or 504, since the report was lost with the link. Cause: the stop closed its links at once, with what was queued, and a socket that is closed with unread input is reset. Class: a connection that ends under an answer, as for callers. Change: the hub ends the sending direction of each link once its messages are written and waits, 300 ms at most, until the peers have closed theirs.

--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -120,6 +120,7 @@
     }
     if (!IsFinished)
       answerRemainingCalls();
+    closeLinks();
     runOnLoop([this] { close(); });
     Root.stop();
     Log.info("node stopped", {{"finished", IsFinished ? 1 : 0}});
@@ -153,6 +154,12 @@
     awaitOnLoop([this] { return !Outbound.isBusy(); }, ResponseWriteTime);
   }
 
+  /// Lets the last reports reach the nodes that wait for them.
+  void closeLinks() {
+    runOnLoop([this] { Peers.beginClosing(); });
+    awaitOnLoop([this] { return !Peers.hasLinks(); }, LinkCloseTime);
+  }
+
   /// The loop starts first and stops last: the tasks of the store post to it.
   void addTasks() {
     Root.add(makeCriticalTask(
--- a/modules/clementine_proxy/node/stop_timing.h
+++ b/modules/clementine_proxy/node/stop_timing.h
@@ -19,6 +19,8 @@
 /// its interruption.
 constexpr std::chrono::milliseconds StoreInterruptMargin{2200};
 constexpr std::chrono::milliseconds StopPollInterval{20};
+/// How long the links of a stopped node may take to close.
+constexpr std::chrono::milliseconds LinkCloseTime{300};
 /// How long the final responses of a stop may take to be written.
 constexpr std::chrono::milliseconds ResponseWriteTime{200};
 
--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -43,19 +43,36 @@
   tick();
 }
 
-void peer_hub::stop() {
+void peer_hub::stopConnecting() {
   IsStopped = true;
-  boost::system::error_code Ignored; // All links are closed either way.
+  boost::system::error_code Ignored; // The sockets are discarded either way.
   Acceptor.close(Ignored);
   Timer.cancel();
-  for (auto &[Number, Link] : Accepted)
-    Link->close();
-  for (auto &[Node, Entry] : Dialled) {
+  for (auto &[Node, Entry] : Dialled)
     if (Entry.Connecting)
       Entry.Connecting->close(Ignored);
+}
+
+void peer_hub::beginClosing() {
+  stopConnecting();
+  for (auto &[Number, Link] : Accepted)
+    Link->finishSending();
+  for (auto &[Node, Entry] : Dialled)
+    if (Entry.Link)
+      Entry.Link->finishSending();
+}
+
+bool peer_hub::hasLinks() const {
+  return !Accepted.empty() || !DialledNodeByLink.empty();
+}
+
+void peer_hub::stop() {
+  stopConnecting();
+  for (auto &[Number, Link] : Accepted)
+    Link->close();
+  for (auto &[Node, Entry] : Dialled)
     if (Entry.Link)
       Entry.Link->close();
-  }
 }
 
 void peer_hub::accept() {
@@ -77,6 +94,8 @@
 }
 
 bool peer_hub::open(const std::string &Node, const endpoint &Address) {
+  if (IsStopped)
+    return false;
   dialled &Entry = Dialled[Node];
   if (Entry.Address != Address) {
     if (Entry.Link)
--- a/modules/clementine_proxy/peers/peer_hub.h
+++ b/modules/clementine_proxy/peers/peer_hub.h
@@ -72,7 +72,12 @@
   /// Binds the address and starts accepting links.
   /// @throws boost::system::system_error when the address cannot be bound.
   void start();
-  /// Stops accepting and closes all links.
+  /// Accepts and opens no more links, and ends each link once its messages are
+  /// written and the peer has closed its end.
+  void beginClosing();
+  /// @returns whether any link is open.
+  bool hasLinks() const;
+  /// Stops accepting and closes all links at once.
   void stop();
 
   /// Opens a link to @p Node unless one exists or is being established.
@@ -110,6 +115,7 @@
                    peer_message Message) override;
   void linkClosed(const std::shared_ptr<peer_link> &Link) override;
   peer_link_listener &linkListener() { return *this; }
+  void stopConnecting();
   void accept();
   void dial(const std::string &Node, dialled &Entry);
   void
@@ -132,6 +138,7 @@
   std::map<std::uint64_t, std::shared_ptr<peer_link>> Accepted;
   std::uint64_t NextLinkNumber = 1;
   instant LastTick;
+  /// No more links are accepted or opened.
   bool IsStopped = false;
 };
 
--- a/modules/clementine_proxy/peers/peer_link.cpp
+++ b/modules/clementine_proxy/peers/peer_link.cpp
@@ -40,7 +40,7 @@
 void peer_link::start() { read(); }
 
 void peer_link::send(const peer_message &Message) {
-  if (!IsOpen)
+  if (!IsOpen || IsFinishing)
     return;
   Unsent += encodeFrame(Message, std::chrono::duration_cast<microseconds>(
                                      boot_clock().now().time_since_epoch()));
@@ -60,6 +60,17 @@
              [Self = shared_from_this()] { Self->Listener.linkClosed(Self); });
 }
 
+void peer_link::finishSending() {
+  IsFinishing = true;
+  if (IsOpen && Sending.empty())
+    shutDownSending();
+}
+
+void peer_link::shutDownSending() {
+  boost::system::error_code Ignored; // The read reports a broken connection.
+  Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+}
+
 void peer_link::read() {
   const std::size_t BufferedBytes = Input.size();
   Input.resize(BufferedBytes + ReadChunkBytes);
@@ -112,6 +123,8 @@
           return Self->close();
         if (!Self->Unsent.empty())
           Self->write();
+        else if (Self->IsFinishing)
+          Self->shutDownSending();
       });
 }
 
--- a/modules/clementine_proxy/peers/peer_link.h
+++ b/modules/clementine_proxy/peers/peer_link.h
@@ -55,6 +55,9 @@
 
   /// Closes the link; linkClosed() is then called once, asynchronously.
   void close();
+  /// Ends the sending direction once all queued messages are written. The link
+  /// closes when the peer has received them and closes its end.
+  void finishSending();
 
   /// @returns the number of the link, unique within the process.
   std::uint64_t number() const { return Number; }
@@ -72,6 +75,7 @@
   void read();
   void readDone(const boost::system::error_code &Error, std::size_t Bytes);
   void write();
+  void shutDownSending();
 
   boost::asio::ip::tcp::socket Socket;
   peer_link_listener &Listener;
@@ -82,6 +86,8 @@
   instant LastReceivedAt;
   transit_delay TransitDelay;
   bool HasStampedFrames = false;
+  /// No further messages are queued.
+  bool IsFinishing = false;
   bool IsOpen = true;
 };
 
