--- a/tests/proxy/test_session.cpp
+++ b/tests/proxy/test_session.cpp
@@ -292,3 +292,23 @@
   CHECK(Test.Received.size() > Test.Handler.Body.size());
   CHECK(Test.Handler.Requests.size() == 1);
 }
+
+TEST_CASE("an idle connection ends without a reset when the node stops") {
+  fixture Test;
+  Test.send(fixture::requestFor("/a"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+  Test.Handler.respond(0);
+  Test.receive("/a");
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(10));
+  Test.Session->beginClosing();
+  CHECK(Test.Session->isInUse());
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(10));
+  boost::system::error_code Error;
+  char Byte = 0;
+  Test.Client.read_some(asio::buffer(&Byte, 1), Error);
+  CHECK(Error == asio::error::eof);
+  Test.Client.close();
+  CHECK(Test.runUntil([&] { return !Test.Session->isInUse(); }));
+}
