Soak: clients that overlap requests on kept connections, read slowly, send many fields

Change: overlapping_clients, half as many as the other clients; they check that answers arrive in order, each to its own request, complete, and in time. The client stands in stand_in_http and serves the test of a planned stop too.

--- a/extras/clementine_soak/soak.cpp
+++ b/extras/clementine_soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "clementine_soak/soak.h"
 
+#include "clementine_soak/overlapping_clients.h"
 #include "clementine_soak/soak_clients.h"
 #include "clementine_soak/soak_faults.h"
 #include "stand_in_users_platform/local_mesh.h"
@@ -73,17 +74,20 @@
     return Findings.lines();
   }
   soak_clients Clients(Mesh, Findings, Settings.Seed, Settings.Clients);
+  overlapping_clients Overlapping(Mesh, Findings, Settings.Seed,
+                                  (Settings.Clients + 1) / 2);
   soak_faults Faults(Mesh, Findings, Settings.Seed);
   Faults.run(Settings.Duration);
   checkRecovery(Mesh, Faults.configVersion(), Findings);
   checkStillRunning(Mesh, Findings);
   Clients.stop();
+  Overlapping.stop();
   Clients.checkRuns();
   std::printf("seed %llu answers",
               static_cast<unsigned long long>(Settings.Seed));
   for (const auto &[Status, Count] : Clients.statuses())
     std::printf(" %ld: %d", Status, Count);
-  std::printf("\n");
+  std::printf(" overlapping: %d\n", Overlapping.answers());
   std::fflush(stdout);
   if (!Findings.lines().empty() && !Settings.KeepLogs.empty())
     keepLogs(Mesh, Settings);
--- a/tests/users_process/test_planned_stop.cpp
+++ b/tests/users_process/test_planned_stop.cpp
@@ -1,11 +1,8 @@
+#include "stand_in_http/pipelining_client.h"
 #include "stand_in_users_platform/local_mesh.h"
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-
 #include <chrono>
 #include <future>
 #include <map>
@@ -14,65 +11,13 @@
 using namespace clementine;
 using namespace clementine::stand_in;
 using namespace std::chrono_literals;
-namespace asio = boost::asio;
-using asio::ip::tcp;
 
 namespace {
 
-/// What a client has received on its connection.
+/// How often a client has received each status, and whether its connection was
+/// ended.
 struct received {
-  std::map<std::string, int> Statuses;
-  bool HasEnded = false;
-};
-
-/// Keeps one connection open and sends requests on it without waiting for the
-/// responses.
-class overlapping_client {
-public:
-  overlapping_client(const endpoint &Node, std::string Name)
-      : Name(std::move(Name)) {
-    Socket.connect({asio::ip::make_address(Node.Host), Node.Port});
-    Socket.non_blocking(true);
-  }
-
-  void send() {
-    const std::string Id = Name + "-" + std::to_string(++Sent);
-    const std::string Bytes = "GET /archive/" + Id +
-                              " HTTP/1.1\r\nHost: mesh.example\r\n"
-                              "X-Request-Id: " +
-                              Id + "\r\nX-Deadline-Ms: 5000\r\n\r\n";
-    boost::system::error_code
-        Ignored; // The node may have ended the connection.
-    asio::write(Socket, asio::buffer(Bytes), Ignored);
-  }
-
-  void receive() {
-    char Bytes[4096];
-    boost::system::error_code Error;
-    const std::size_t Count = Socket.read_some(asio::buffer(Bytes), Error);
-    Input.append(Bytes, Count);
-    HasEnded = Error && Error != asio::error::would_block;
-  }
-
-  bool hasEnded() const { return HasEnded; }
-
-  /// @returns how often each status was received.
-  received result() const {
-    received Result;
-    const std::string Line = "HTTP/1.1 ";
-    for (std::size_t At = Input.find(Line); At != std::string::npos;
-         At = Input.find(Line, At + 1))
-      ++Result.Statuses[Input.substr(At + Line.size(), 3)];
-    Result.HasEnded = HasEnded;
-    return Result;
-  }
-
-private:
-  const std::string Name;
-  asio::io_context Loop;
-  tcp::socket Socket{Loop};
-  std::string Input;
-  int Sent = 0;
+  std::map<long, int> Statuses;
   bool HasEnded = false;
 };
 
@@ -81,18 +26,27 @@
 received sendUntilClosed(const endpoint &Node, const std::string &Name,
                          std::chrono::milliseconds Delay,
                          std::chrono::milliseconds Interval) {
-  overlapping_client Client(Node, Name);
+  pipelining_client Client(Node);
+  received Received;
   const auto Begun = std::chrono::steady_clock::now();
   auto Next = Begun + Delay;
-  while (!Client.hasEnded() && std::chrono::steady_clock::now() - Begun < 15s) {
+  int Sent = 0;
+  while (!Received.HasEnded && std::chrono::steady_clock::now() - Begun < 15s) {
     if (std::chrono::steady_clock::now() >= Next) {
-      Client.send();
+      const std::string Id = Name + "-" + std::to_string(++Sent);
+      std::string Text = "GET /archive/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+                         "X-Deadline-Ms: 5000\r\nX-Request-Id: ";
+      Text += Id;
+      Client.send(Text += "\r\n\r\n");
       Next += Interval;
     }
-    Client.receive();
+    for (const auto &Answer : Client.receive(4096))
+      ++Received.Statuses[Answer.Status];
+    Received.HasEnded = Client.hasEnded();
     std::this_thread::sleep_for(2ms);
   }
-  return Client.result();
+  CHECK_FALSE(Client.hasPartialAnswer());
+  return Received;
 }
 
 } // namespace
@@ -123,7 +77,7 @@
   for (auto &Each : Clients) {
     const received Received = Each.get();
     CHECK(Received.HasEnded);
-    CHECK_FALSE(Received.Statuses.contains("502"));
-    CHECK_FALSE(Received.Statuses.contains("504"));
+    CHECK_FALSE(Received.Statuses.contains(502));
+    CHECK_FALSE(Received.Statuses.contains(504));
   }
 }
