Stop: nothing that may still be accepted is taken for ended

What callers could see: an answer lost with a reset though nothing was stopping. Change: a pending request keeps its session alive; input behind the last request is discarded as it comes; a closing session is in use until it is closed; stop_timing derives every phase from the grace; requests that begin once the links are closing are refused, and reports of the instance no longer confirmed. http_listener has its own file, loop_calls too.

--- a/modules/clementine_proxy/clementine_proxy.h
+++ b/modules/clementine_proxy/clementine_proxy.h
@@ -15,6 +15,7 @@
 #include "clementine_proxy/gate/instance_gate.h"
 #include "clementine_proxy/gate/instance_registration.h"
 #include "clementine_proxy/http/header_names.h"
+#include "clementine_proxy/http/http_listener.h"
 #include "clementine_proxy/http/http_session.h"
 #include "clementine_proxy/http/message_reader.h"
 #include "clementine_proxy/http/messages.h"
--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -5,10 +5,9 @@
 #include "clementine_telemetry/clementine_telemetry.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
+#include <utility>
 
 namespace clementine::proxy {
 
@@ -18,7 +17,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds TimeoutCheckInterval{500};
-constexpr std::chrono::milliseconds AcceptRetryDelay{20};
 
 constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
@@ -62,15 +60,15 @@
   if (IsReading || IsClosed)
     return;
   IsReading = true;
-  Socket.async_read_some(
-      asio::buffer(ReadBuffer),
-      [Self = shared_from_this()](const auto &Error, std::size_t Bytes) {
-        Self->IsReading = false;
-        if (Self->IsLingering)
-          return Self->startLingering();
-        Self->Input.append(Self->ReadBuffer.data(), Bytes);
-        Self->readDone(Error, Bytes);
-      });
+  Socket.async_read_some(asio::buffer(ReadBuffer), [Self = shared_from_this()](
+                                                       const auto &Error,
+                                                       std::size_t Bytes) {
+    Self->IsReading = false;
+    if (std::exchange(Self->EndsAfterRead, false) && (Error || Self->IsEnding))
+      return Self->closeGracefully();
+    Self->Input.append(Self->ReadBuffer.data(), Bytes);
+    Self->readDone(Error, Bytes);
+  });
 }
 
 void http_session::readDone(const boost::system::error_code &Error,
@@ -80,6 +78,8 @@
   if (Error || Bytes == 0)
     return disconnect();
   parse();
+  if (IsEnding)
+    Input.clear();
   // A pending read detects that the client disconnects. Reading stops while
   // too much unparsed input is buffered; further bytes stay in socket buffers.
   if (!IsClosed && Input.size() <= ReadChunkBytes + Limits.MaxHeader)
@@ -122,9 +122,8 @@
   Exchanges.push_back(Exchange);
   Handler.handle(
       std::move(Request),
-      [Session = weak_from_this(), Exchange](response Response) {
-        if (const auto Self = Session.lock())
-          Self->complete(Exchange, std::move(Response));
+      [Self = shared_from_this(), Exchange](response Response) {
+        Self->complete(Exchange, std::move(Response));
       },
       Exchange->OnDisconnect);
 }
@@ -215,21 +214,26 @@
   Timer.cancel();
 }
 
-/// Closes the connection so that the responses written last reach the client;
-/// they have if the connection has been idle for longer.
+/// Closes the connection so that the responses written last reach the client.
+/// After lingering_close_limits::Timeout without a request they have reached
+/// it.
 void http_session::closeGracefully() {
   if (IsClosed)
     return;
   LingerTimeout = lingering_close_limits().Timeout - (now() - IdleSince);
   if (LingerTimeout <= duration(0))
     return close();
+  if (IsReading) {
+    // The read may have taken a request already: only its handler knows.
+    EndsAfterRead = true;
+    boost::system::error_code Ignored;
+    Socket.cancel(Ignored);
+    return;
+  }
   IsClosed = true;
   IsLingering = true;
   Timer.cancel();
-  if (!IsReading)
-    return startLingering();
-  boost::system::error_code Ignored; // The read fails in any case.
-  Socket.cancel(Ignored);
+  startLingering();
 }
 
 void http_session::startLingering() {
@@ -263,8 +267,10 @@
 }
 
 bool http_session::isInUse() const {
-  return IsLingering || isBusy() || isAwaitingFirstRequest() ||
-         (Reader.hasPartialRequest() && !IsClosed);
+  if (IsClosed)
+    return IsLingering;
+  return IsClosing || isBusy() || isAwaitingFirstRequest() ||
+         Reader.hasPartialRequest();
 }
 
 void http_session::scheduleTimeoutCheck() {
@@ -301,82 +307,4 @@
     closeIfIdle();
 }
 
-http_listener::http_listener(asio::io_context &Loop, endpoint Listen,
-                             http_handler &Handler, std::size_t MaxConnections)
-    : Loop(Loop), Listen(std::move(Listen)), Handler(Handler),
-      MaxConnections(MaxConnections), Acceptor(Loop), AcceptRetryTimer(Loop) {}
-
-void http_listener::start() {
-  const tcp::endpoint Address(asio::ip::make_address(Listen.Host), Listen.Port);
-  Acceptor.open(Address.protocol());
-  Acceptor.set_option(tcp::acceptor::reuse_address(true));
-  Acceptor.bind(Address);
-  Acceptor.listen();
-  accept();
-}
-
-void http_listener::addSession(tcp::socket Socket) {
-  auto Session = std::make_shared<http_session>(std::move(Socket), Handler);
-  Sessions.push_back(Session);
-  Session->start();
-}
-
-void http_listener::accept() {
-  Acceptor.async_accept([this](const auto &Error, tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted || !Acceptor.is_open())
-      return;
-    std::erase_if(Sessions, [](const auto &Each) { return Each.expired(); });
-    if (!Error && Sessions.size() < MaxConnections) {
-      addSession(std::move(Socket));
-      return accept();
-    }
-    log().warning(
-        "connection not accepted: accept error or connection limit reached",
-        {{"error", Error.message()}, {"open", Sessions.size()}});
-    AcceptRetryTimer.expires_after(AcceptRetryDelay);
-    AcceptRetryTimer.async_wait([this](const auto &Cancelled) {
-      if (!Cancelled)
-        accept();
-    });
-  });
-}
-
-/// Closing the acceptor resets the connections in its queue, whose clients may
-/// have sent requests already.
-void http_listener::acceptQueued() {
-  boost::system::error_code Error;
-  Acceptor.cancel(Error);
-  Acceptor.non_blocking(true, Error);
-  while (!Error && Sessions.size() < MaxConnections) {
-    tcp::socket Socket(Loop);
-    Acceptor.accept(Socket, Error);
-    if (!Error)
-      addSession(std::move(Socket));
-  }
-}
-
-void http_listener::stop() {
-  if (Acceptor.is_open())
-    acceptQueued();
-  boost::system::error_code Ignored; // Accepting ends either way.
-  Acceptor.close(Ignored);
-  AcceptRetryTimer.cancel();
-  for (const auto &Each : Sessions)
-    if (const auto Session = Each.lock())
-      Session->beginClosing();
-}
-
-bool http_listener::anySession(bool (http_session::*Is)() const) const {
-  return std::any_of(Sessions.begin(), Sessions.end(), [Is](const auto &Each) {
-    const auto Session = Each.lock();
-    return Session && ((*Session).*Is)();
-  });
-}
-
-bool http_listener::isBusy() const { return anySession(&http_session::isBusy); }
-
-bool http_listener::isInUse() const {
-  return anySession(&http_session::isInUse);
-}
-
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/http/http_session.h
+++ b/modules/clementine_proxy/http/http_session.h
@@ -35,8 +35,8 @@
 };
 
 /// One client connection. Pipelined requests are read while earlier ones are in
-/// progress; responses are sent in the order of the requests. Pending reads and
-/// writes keep the object alive.
+/// progress; responses are sent in the order of the requests. Pending reads,
+/// writes and requests keep the object alive.
 ///
 /// The connection ends behind a response that says "Connection: close"; no
 /// request is accepted behind the one that it answers. See
@@ -69,8 +69,8 @@
   /// @returns whether a request is in progress or a response is being written.
   bool isBusy() const { return !Exchanges.empty() || IsWriting; }
   /// @returns whether ending the process now would cut off a client: the
-  /// session is busy, reads a request, awaits the first one, or its last
-  /// response may not have reached the client yet.
+  /// session is busy, may still accept a request, or its last response may not
+  /// have reached the client yet.
   bool isInUse() const;
 
 private:
@@ -123,45 +123,14 @@
   /// The connection is closed for this session, but the client may still be
   /// reading its last response.
   bool IsLingering = false;
+  /// The connection is closed once the pending read has ended, unless it
+  /// brought a request.
+  bool EndsAfterRead = false;
   duration LingerTimeout{0};
   bool HasSentContinue = false;
   bool HasAcceptedRequest = false;
 };
 
-/// Accepts client connections on one address.
-class http_listener {
-public:
-  http_listener(boost::asio::io_context &Loop, endpoint Listen,
-                http_handler &Handler, std::size_t MaxConnections);
-
-  http_listener(const http_listener &) = delete;
-  http_listener &operator=(const http_listener &) = delete;
-
-  /// @throws boost::system::system_error when the address cannot be bound.
-  void start();
-  /// Accepts the connections that wait to be accepted, then no more, and begins
-  /// to close each connection.
-  void stop();
-  /// @returns whether any session is busy.
-  bool isBusy() const;
-  /// @returns whether any session is in use.
-  bool isInUse() const;
-
-private:
-  bool anySession(bool (http_session::*Is)() const) const;
-  void accept();
-  void acceptQueued();
-  void addSession(boost::asio::ip::tcp::socket Socket);
-
-  boost::asio::io_context &Loop;
-  const endpoint Listen;
-  http_handler &Handler;
-  const std::size_t MaxConnections;
-  boost::asio::ip::tcp::acceptor Acceptor;
-  boost::asio::steady_timer AcceptRetryTimer;
-  std::vector<std::weak_ptr<http_session>> Sessions;
-};
-
 } // namespace clementine::proxy
 
 #endif
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -2,7 +2,7 @@
 
 #include "clementine_proxy/entry/forwarder.h"
 #include "clementine_proxy/gate/instance_client.h"
-#include "clementine_proxy/http/http_session.h"
+#include "clementine_proxy/http/http_listener.h"
 #include "clementine_proxy/model/boot_clock.h"
 #include "clementine_proxy/node/caller_request_handler.h"
 #include "clementine_proxy/node/component_settings.h"
@@ -10,6 +10,7 @@
 #include "clementine_proxy/node/critical_task.h"
 #include "clementine_proxy/node/decision_timer.h"
 #include "clementine_proxy/node/instance_report_handler.h"
+#include "clementine_proxy/node/loop_calls.h"
 #include "clementine_proxy/node/node_status_publisher.h"
 #include "clementine_proxy/node/operator_endpoints.h"
 #include "clementine_proxy/node/process_start.h"
@@ -23,7 +24,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <future>
 #include <utility>
 
 namespace clementine::proxy {
@@ -108,20 +108,20 @@
   bool stop() {
     const instant Begun = now();
     Log.info("node is leaving");
-    runOnLoop([this] { leave(); });
-    const instant End = Begun + Settings.StopGrace - StopMargin;
-    const instant StoreEnd = Begun + Settings.StopGrace - StoreInterruptMargin;
+    runOnLoop(Loop, [this] { leave(); });
+    const instant End = Begun + Stop.WorkEnd;
+    const instant StoreEnd = Begun + Stop.StoreEnd;
     bool IsFinished = false;
     while (!IsFinished && now() < End) {
       std::this_thread::sleep_for(StopPollInterval);
-      runOnLoop([&] { IsFinished = isIdle(); });
+      runOnLoop(Loop, [&] { IsFinished = isIdle(); });
       if (IsFinished || now() >= StoreEnd)
         Adapter.store().interrupt();
     }
     if (!IsFinished)
       answerRemainingCalls();
     closeLinks();
-    runOnLoop([this] { close(); });
+    runOnLoop(Loop, [this] { close(); });
     Root.stop();
     Log.info("node stopped", {{"finished", IsFinished ? 1 : 0}});
     return IsFinished;
@@ -130,34 +130,26 @@
 private:
   static instant now() { return boot_clock().now(); }
 
-  template <class Callback> void runOnLoop(const Callback &Action) {
-    std::promise<void> Done;
-    asio::post(Loop, [&] {
-      Action();
-      Done.set_value();
-    });
-    Done.get_future().wait();
-  }
-
-  /// Polls @p Condition on the loop until it is true or @p Span has passed.
-  template <class Predicate>
-  void awaitOnLoop(const Predicate &Condition, duration Span) {
-    bool IsMet = false;
-    for (const instant End = now() + Span; !IsMet && now() < End;) {
-      std::this_thread::sleep_for(StopPollInterval);
-      runOnLoop([&] { IsMet = Condition(); });
-    }
-  }
-
   void answerRemainingCalls() {
-    runOnLoop([this] { Forwarder.answerAll(now()); });
-    awaitOnLoop([this] { return !Outbound.isBusy(); }, ResponseWriteTime);
+    runOnLoop(Loop, [this] {
+      Forwarder.refuseFrom(now());
+      Forwarder.answerAll(now());
+    });
+    awaitOnLoop(
+        Loop, [this] { return !Outbound.isBusy(); }, ResponseWriteTime);
   }
 
-  /// Lets the last reports reach the nodes that wait for them.
+  /// Lets the last reports and responses reach those that wait for them. No
+  /// request or report of the instance is accepted meanwhile.
   void closeLinks() {
-    runOnLoop([this] { Peers.beginClosing(); });
-    awaitOnLoop([this] { return !Peers.hasLinks(); }, LinkCloseTime);
+    runOnLoop(Loop, [this] {
+      Forwarder.refuseFrom(now());
+      Control.stop();
+      Peers.beginClosing();
+    });
+    awaitOnLoop(
+        Loop, [this] { return !Peers.hasLinks() && !Outbound.isInUse(); },
+        LinkCloseTime);
   }
 
   /// The loop starts first and stops last: the tasks of the store post to it.
@@ -311,7 +303,7 @@
       ReportHandler.startAccepting(std::nullopt);
     Decisions.runDue(Now);
     if (StatusPublisher.isLeaving() && !HasStoppedAccepting &&
-        Now - LeavingSince > ReadinessPropagationTime)
+        Now - LeavingSince > Stop.ConnectionsEnd)
       stopAcceptingCalls();
     Housekeeping.expires_after(HousekeepingInterval);
     Housekeeping.async_wait([this](const auto &Error) {
@@ -323,7 +315,7 @@
   /// @name Stopping
   void leave() {
     LeavingSince = now();
-    Forwarder.refuseFrom(LeavingSince + RequestAcceptanceTime);
+    Forwarder.refuseFrom(LeavingSince + Stop.RequestsEnd);
     StatusPublisher.leave();
   }
 
@@ -353,6 +345,7 @@
   }
 
   const proxy_settings Settings;
+  const stop_timing Stop{Settings.StopGrace};
   deployment_adapter &Adapter;
   const logger Log{"node"};
   seeded_random Random;
--- a/modules/clementine_proxy/node/stop_timing.h
+++ b/modules/clementine_proxy/node/stop_timing.h
@@ -1,28 +1,53 @@
 #ifndef CLEMENTINE_PROXY_NODE_STOP_TIMING_H
 #define CLEMENTINE_PROXY_NODE_STOP_TIMING_H
 
+#include "clementine_core/clementine_core.h"
+
+#include <algorithm>
 #include <chrono>
 
 namespace clementine::proxy {
 
-/// How long callers take to stop using a node that is not ready: two failed
-/// readiness probes and a margin.
-constexpr std::chrono::milliseconds ReadinessPropagationTime{2600};
-/// How long after the start of a stop requests are accepted. What is accepted
-/// later, on a connection that is still being read, could not finish within the
-/// stop grace and is refused.
-constexpr std::chrono::milliseconds RequestAcceptanceTime{2900};
-/// How much of the stop grace is reserved for closing sockets and tasks.
-constexpr std::chrono::milliseconds StopMargin{800};
-/// Calls to the store are interrupted this long before the end of the stop
-/// grace, while requests still finish, since a call ends up to a second after
-/// its interruption.
-constexpr std::chrono::milliseconds StoreInterruptMargin{2200};
+/// When the phases of a graceful stop end, measured from its start. A short
+/// grace shortens all of them in proportion.
+struct stop_timing {
+  /// @param Grace after which the process is killed.
+  explicit stop_timing(duration Grace)
+      : ConnectionsEnd(
+            std::min<duration>(ReadinessPropagationTime, Grace * 13 / 30)),
+        RequestsEnd(std::min<duration>(RequestAcceptanceTime, Grace * 29 / 60)),
+        StoreEnd(Grace - std::min<duration>(StoreMargin, Grace * 11 / 30)),
+        WorkEnd(Grace - std::min<duration>(WorkMargin, Grace * 4 / 30)) {}
+
+  /// How long callers take to stop using a node that is not ready: two failed
+  /// readiness probes and a margin.
+  static constexpr std::chrono::milliseconds ReadinessPropagationTime{2600};
+  /// Long enough for a request that was sent when new connections were still
+  /// accepted.
+  static constexpr std::chrono::milliseconds RequestAcceptanceTime{2900};
+  /// A call to the store ends up to a second after its interruption.
+  static constexpr std::chrono::milliseconds StoreMargin{2200};
+  /// The time to write the last responses and to close sockets and tasks.
+  static constexpr std::chrono::milliseconds WorkMargin{800};
+
+  /// New connections are accepted until then.
+  duration ConnectionsEnd;
+  /// Requests are accepted until then, later ones are refused: what was
+  /// accepted has the rest of the grace to finish.
+  duration RequestsEnd;
+  /// Calls to the store are interrupted then.
+  duration StoreEnd;
+  /// Requests that are still at work are answered then.
+  duration WorkEnd;
+
+  bool operator==(const stop_timing &) const = default;
+};
+
 constexpr std::chrono::milliseconds StopPollInterval{20};
-/// How long the links of a stopped node may take to close.
-constexpr std::chrono::milliseconds LinkCloseTime{300};
 /// How long the final responses of a stop may take to be written.
 constexpr std::chrono::milliseconds ResponseWriteTime{200};
+/// How long the links of a stopped node may take to close.
+constexpr std::chrono::milliseconds LinkCloseTime{300};
 
 } // namespace clementine::proxy
 
--- a/tests/proxy/test_session.cpp
+++ b/tests/proxy/test_session.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
+#include <functional>
 #include <vector>
 
 using namespace clementine;
@@ -40,6 +41,25 @@
   std::string Body;
 };
 
+/// Responds to each request at once.
+class answering_handler final : public http_handler {
+public:
+  void handle(request Request, responder Respond,
+              disconnect_callback &) override {
+    Targets.push_back(Request.Target);
+    if (OnRequest)
+      std::exchange(OnRequest, nullptr)();
+    response Response;
+    Response.Status = 200;
+    Respond(std::move(Response));
+  }
+  caller_limits limits() const override { return {}; }
+
+  std::vector<std::string> Targets;
+  /// Called once, before the first response.
+  std::function<void()> OnRequest;
+};
+
 /// @returns a port of the loopback interface that is free at the moment.
 std::uint16_t freePort() {
   asio::io_context Loop;
@@ -236,14 +256,19 @@
     "a request that is partly read when its connection begins to close is "
     "the last one") {
   fixture Test;
+  Test.send(fixture::requestFor("/first"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+  Test.Handler.respond(0);
+  Test.receive("/first");
+  REQUIRE(Test.runUntil([&] { return !Test.Session->isInUse(); }));
   Test.send("GET /a HTTP/1.1\r\n");
   REQUIRE(Test.runUntil([&] { return Test.Session->isInUse(); }));
   Test.Session->beginClosing();
   Test.send("Host: h\r\n\r\n" + fixture::requestFor("/b"));
-  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
-  Test.Handler.respond(0);
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 2; }));
+  Test.Handler.respond(1);
   CHECK(Test.receive("/a").find("Connection: close") != std::string::npos);
-  CHECK(Test.Handler.Requests.size() == 1);
+  CHECK(Test.Handler.Requests.size() == 2);
 }
 
 TEST_CASE("a new connection that was spared when it began to close is closed "
@@ -312,3 +337,90 @@
   Test.Client.close();
   CHECK(Test.runUntil([&] { return !Test.Session->isInUse(); }));
 }
+
+TEST_CASE("input behind the last request does not destroy its session") {
+  fixture Test;
+  Test.send(fixture::requestFor("/a"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+  Test.Session->beginClosing();
+  Test.Session.reset();
+  Test.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 65536\r\n\r\n" +
+            std::string(65536, 'x'));
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(50));
+  Test.Handler.respond(0);
+  CHECK(Test.receive("\r\n\r\n/a").ends_with("/a"));
+}
+
+TEST_CASE("input behind as many requests as may overlap does not destroy their "
+          "session") {
+  fixture Test;
+  for (std::size_t Number = 0; Number < http_session::MaxPipelined; ++Number)
+    Test.send(fixture::requestFor("/a"));
+  REQUIRE(Test.runUntil([&] {
+    return Test.Handler.Requests.size() == http_session::MaxPipelined;
+  }));
+  Test.Session.reset();
+  Test.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 65536\r\n\r\n" +
+            std::string(65536, 'x'));
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(50));
+  Test.Handler.respond(0);
+  CHECK(Test.receive("\r\n\r\n/a").ends_with("/a"));
+}
+
+TEST_CASE("a request that was read while its connection was being closed is "
+          "answered") {
+  asio::io_context Loop;
+  answering_handler Handler;
+  tcp::socket Client(Loop);
+  tcp::acceptor Acceptor(Loop,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  Client.connect(Acceptor.local_endpoint());
+  auto Session = std::make_shared<http_session>(Acceptor.accept(), Handler);
+  Session->start();
+  asio::write(Client, asio::buffer(fixture::requestFor("/a")));
+  Handler.OnRequest = [&] {
+    asio::write(Client, asio::buffer(fixture::requestFor("/b")));
+  };
+  while (Handler.Targets.empty())
+    Loop.run_one();
+  Session->beginClosing();
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(50));
+  CHECK(Handler.Targets == std::vector<std::string>{"/a", "/b"});
+}
+
+TEST_CASE("a closing connection with unread input is in use") {
+  fixture Test;
+  Test.send(fixture::requestFor("/a"));
+  REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+  Test.Handler.respond(0);
+  Test.receive("/a");
+  Test.Loop.restart();
+  Test.Loop.run_for(std::chrono::milliseconds(10));
+  Test.send(fixture::requestFor("/b"));
+  Test.Session->beginClosing();
+  CHECK(Test.Session->isInUse());
+}
+
+TEST_CASE("a connection whose accept has completed when the listener stops is "
+          "served") {
+  asio::io_context Loop;
+  answering_handler Handler;
+  const endpoint Address{"127.0.0.1", freePort()};
+  http_listener Listener(Loop, Address, Handler, 100);
+  Listener.start();
+  std::vector<tcp::socket> Clients;
+  for (int Number = 0; Number < 2; ++Number) {
+    Clients.emplace_back(Loop);
+    Clients.back().connect(
+        {asio::ip::make_address(Address.Host), Address.Port});
+    asio::write(Clients.back(), asio::buffer(fixture::requestFor("/a")));
+  }
+  Loop.run_one();
+  Listener.stop();
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(50));
+  CHECK(Handler.Targets.size() == 2);
+}
--- a/tests/users_process/test_planned_stop.cpp
+++ b/tests/users_process/test_planned_stop.cpp
@@ -14,10 +14,13 @@
 
 namespace {
 
+constexpr std::size_t OverlappingClients = 4;
+
 /// How often a client has received each status, and whether its connection was
 /// ended.
 struct received {
   std::map<long, int> Statuses;
+  bool WasToldToClose = false;
   bool HasEnded = false;
 };
 
@@ -40,8 +43,11 @@
       Client.send(Text += "\r\n\r\n");
       Next += Interval;
     }
-    for (const auto &Answer : Client.receive(4096))
+    for (const auto &Answer : Client.receive(4096)) {
+      CHECK_FALSE(Received.WasToldToClose);
       ++Received.Statuses[Answer.Status];
+      Received.WasToldToClose = Answer.header("connection") == "close";
+    }
     Received.HasEnded = Client.hasEnded();
     std::this_thread::sleep_for(2ms);
   }
@@ -64,7 +70,7 @@
       return sendUntilClosed(Node, Name, Delay, Interval);
     }));
   };
-  for (int Number = 0; Number < 4; ++Number)
+  for (std::size_t Number = 0; Number < OverlappingClients; ++Number)
     Add("overlapping" + std::to_string(Number), 0ms, 100ms);
   std::this_thread::sleep_for(500ms);
   std::thread LateClients([&] {
@@ -74,9 +80,12 @@
   });
   CHECK(Mesh.node("archive-east").stop() == 0);
   LateClients.join();
-  for (auto &Each : Clients) {
-    const received Received = Each.get();
+  for (std::size_t Number = 0; Number < Clients.size(); ++Number) {
+    const received Received = Clients[Number].get();
+    const bool IsOverlapping = Number < OverlappingClients;
+    CHECK((!IsOverlapping || Received.Statuses.contains(200)));
     CHECK(Received.HasEnded);
+    CHECK(Received.WasToldToClose == !Received.Statuses.empty());
     CHECK_FALSE(Received.Statuses.contains(502));
     CHECK_FALSE(Received.Statuses.contains(504));
   }
