Links: an order that arrives while the links are closing is not run

What callers could see: a run for nothing, whose report could not be sent; a request that may not be repeated then waited for its whole time limit. Cause: the ended sending direction left the receiving one open for orders.

--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -245,6 +245,8 @@
   if (IsDialled)
     return Listener.peerReplyReceived(std::string(Owner->second),
                                       std::move(Message));
+  if (IsStopped && std::holds_alternative<attempt_request>(Message))
+    return; // Its report could not be sent.
   if (std::holds_alternative<peer_probe>(Message))
     Link->send(Listener.status());
   Listener.peerRequestReceived(Link->number(), std::move(Message));
--- a/tests/proxy/test_peer_hub.cpp
+++ b/tests/proxy/test_peer_hub.cpp
@@ -106,3 +106,26 @@
   Loop.restart();
   Loop.run_for(std::chrono::milliseconds(20));
 }
+
+TEST_CASE("an order that reaches a node whose links are closing is not run, as "
+          "its report could not be sent") {
+  asio::io_context Loop;
+  recording_listener GateListener;
+  recording_listener EntryListener;
+  GateListener.Name = "gate";
+  const endpoint Gate{"127.0.0.1", freePort()};
+  peer_hub GateHub(Loop, {}, Gate, GateListener);
+  peer_hub EntryHub(Loop, {}, {"127.0.0.1", freePort()}, EntryListener);
+  GateHub.start();
+  EntryHub.open("gate", Gate);
+  REQUIRE(runUntil(Loop, [&] { return EntryListener.Up == 1; }));
+  GateListener.LastLink = 0;
+  GateHub.beginClosing();
+  EntryHub.sendTo("gate", attempt_request{});
+  CHECK(runUntil(Loop, [&] { return !GateHub.hasLinks(); }));
+  CHECK(GateListener.LastLink == 0);
+  GateHub.stop();
+  EntryHub.stop();
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(20));
+}
