Instance client: a timer that fires behind an answer ends no run

Callers saw, by reading of the review: after a node had been paused past the deadline of a run whose answer waited in its socket, an unneeded 504 or refusal.

Cause: timer and answer become ready in one poll. finish() cancels the timer, but not a handler that already waits; it then ends the connection's call once more. With the connection idle, the ended run is reported again as "unreachable" (the gate refuses for 0.3 s) and the connection is kept twice, so that two runs share it. With the connection in use again, the next run is ended as broken off.

Class: a handler acts on a call other than the one that it was armed for.

Change: each arming has a number, and its handler ignores any other; the same holds for the timer of the connect phase when the request is being sent.

--- a/modules/clementine_proxy/gate/instance_client.cpp
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -238,17 +238,25 @@
 
   void finish(instance_result Result) {
     setBufferedBytes(0);
-    Timer.cancel();
+    disarm();
     IdleSince = now();
     Output.clear();
     Reader.reset();
     Client.ended(shared_from_this(), std::move(Result), KeepsConnection);
   }
 
+  /// A timer that has run out cannot be cancelled any more: its handler may
+  /// already be waiting behind the one that disarms it.
+  void disarm() {
+    ++TimerNumber;
+    Timer.cancel();
+  }
+
   void arm(instant Time) {
+    const std::uint64_t Number = ++TimerNumber;
     Timer.expires_after(std::max<duration>(Time - now(), duration(0)));
-    Timer.async_wait([Self = shared_from_this()](const auto &Error) {
-      if (Error || Self->IsClosed)
+    Timer.async_wait([Self = shared_from_this(), Number](const auto &Error) {
+      if (Error || Self->IsClosed || Number != Self->TimerNumber)
         return;
       if (Self->Reader)
         Self->end(run_outcome::Unknown, run_cause::NoValidResponse);
@@ -260,6 +268,8 @@
   instance_client &Client;
   tcp::socket Socket;
   asio::steady_timer Timer;
+  /// Changes whenever the timer is armed or disarmed.
+  std::uint64_t TimerNumber = 0;
   instance_call Call;
   std::string RequestId;
   std::string Output;
