Instance client: a refusal that is written again certifies nothing

Cause: answers on a kept connection are told apart by the echoed request id. A request that was refused keeps its id when it is offered again, and may take the same connection: a copy of its earlier refusal then ends the new run as not run.

Class: a certificate of one attempt is taken for that of another.

Change: a request that isn't idempotent goes out only on a connection that has never carried a refusal, so nothing on it can be a repeat of one; a connection on which such a request was refused is closed. Idempotent ones use connections behind refusals as before; a new connection replaces one of those, so they don't add up.

Evidence: copies after 0, 1 and 50 ms and 2 s, plain and behind an interim answer, with the id of the request offered again or of the run in progress. Before: 44 assertions of two test cases failed.

--- a/modules/clementine_proxy/gate/instance_client.cpp
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -119,6 +119,8 @@
   const instance_call &call() const { return Call; }
   bool isUsableAt(instant Now) const { return Now < UsableUntil; }
   instant idleSince() const { return IdleSince; }
+  /// @returns whether a refusal came on it, which the instance may write again.
+  bool hasCarriedRefusal() const { return HasCarriedRefusal; }
 
 private:
   void send() {
@@ -229,6 +231,10 @@
   void end(run_outcome Outcome, run_cause Cause) {
     const bool WasSent =
         Cause == run_cause::Rejected || Outcome == run_outcome::Unknown;
+    if (Cause == run_cause::Rejected) {
+      HasCarriedRefusal = true;
+      KeepsConnection = KeepsConnection && Call.IsIdempotent;
+    }
     if (Outcome == run_outcome::Unknown)
       KeepsConnection = false;
     if (Outcome == run_outcome::NotRun && Cause == run_cause::TooLate)
@@ -282,6 +288,7 @@
   bool IsReused = false;
   bool IsSending = false;
   bool KeepsConnection = false;
+  bool HasCarriedRefusal = false;
   bool IsClosed = false;
 };
 
@@ -295,7 +302,7 @@
 
 void instance_client::call(instance_call Call) {
   auto &Connection = Busy[Call.Attempt];
-  Connection = takeIdle(!Call.IsIdempotent);
+  Connection = takeIdle(Call.IsIdempotent);
   if (Connection)
     return Connection->reuse(std::move(Call));
   Connection = std::make_shared<instance_connection>(*this);
@@ -303,21 +310,35 @@
 }
 
 std::shared_ptr<instance_connection>
-instance_client::takeIdle(bool MustBeRecentlyUsed) {
+instance_client::takeIdle(bool IsIdempotent) {
   const instant Now = now();
-  while (!Idle.empty()) {
-    auto Connection = Idle.back();
-    if (Connection->isUsableAt(Now) && MustBeRecentlyUsed &&
-        Now - Connection->idleSince() > Settings.MaxIdleIfNotIdempotent)
-      return nullptr;
-    Idle.pop_back();
+  for (auto Next = Idle.end(); Next != Idle.begin();) {
+    --Next;
+    if (!IsIdempotent && (*Next)->hasCarriedRefusal())
+      continue;
+    if (!IsIdempotent && (*Next)->isUsableAt(Now) &&
+        Now - (*Next)->idleSince() > Settings.MaxIdleIfNotIdempotent)
+      break;
+    auto Connection = *Next;
+    Next = Idle.erase(Next);
     if (Connection->isUsableAt(Now) && Connection->isOpenAndIdle())
       return Connection;
     Connection->close();
   }
+  if (!IsIdempotent)
+    closeIdleWithRefusal();
   return nullptr;
 }
 
+void instance_client::closeIdleWithRefusal() {
+  const auto Oldest =
+      std::ranges::find_if(Idle, &instance_connection::hasCarriedRefusal);
+  if (Oldest == Idle.end())
+    return;
+  (*Oldest)->close();
+  Idle.erase(Oldest);
+}
+
 void instance_client::ended(
     const std::shared_ptr<instance_connection> &Connection,
     instance_result Result, bool KeepsConnection) {
--- a/modules/clementine_proxy/gate/instance_client.h
+++ b/modules/clementine_proxy/gate/instance_client.h
@@ -75,7 +75,12 @@
 private:
   friend class instance_connection;
 
-  std::shared_ptr<instance_connection> takeIdle(bool MustBeRecentlyUsed);
+  /// @returns an idle connection, if one is fit: for a request that is not
+  /// idempotent it was in use a moment ago and has never carried a refusal.
+  std::shared_ptr<instance_connection> takeIdle(bool IsIdempotent);
+  /// Makes room for a new connection, so that connections which only idempotent
+  /// requests may use do not add up.
+  void closeIdleWithRefusal();
   void ended(const std::shared_ptr<instance_connection> &Connection,
              instance_result Result, bool KeepsConnection);
   void bufferedBytesChanged(std::uint64_t Before, std::uint64_t After);
