Response reader: a head that contains the beginning of another is no answer

Cause: the parser allows any text in such a value, so the next status line becomes part of it, and the id of the next answer ends up in the head of the earlier one.

Class: two messages are read as one.

Change: a head in which "HTTP/1.x nnn" stands within the reason phrase or a value is malformed; the run ends without a valid answer.

--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <limits>
 
@@ -58,6 +59,35 @@
   return read_fault::Malformed;
 }
 
+/// Whether @p Text contains the beginning of a response, as in "HTTP/1.1 200".
+bool containsStatusLine(std::string_view Text) {
+  constexpr std::string_view Version = "HTTP/1.";
+  constexpr std::string_view Pattern = "0 000"; // 0 stands for any digit.
+  for (std::size_t At = Text.find(Version); At != std::string_view::npos;
+       At = Text.find(Version, At + 1)) {
+    const std::string_view Found =
+        Text.substr(At + Version.size(), Pattern.size());
+    if (std::equal(Found.begin(), Found.end(), Pattern.begin(), Pattern.end(),
+                   [](char Byte, char Expected) {
+                     return Expected == ' ' ? Byte == ' '
+                                            : Byte >= '0' && Byte <= '9';
+                   }))
+      return true;
+  }
+  return false;
+}
+
+/// Whether a head begins with another that broke off: bytes that the server
+/// wrote earlier, with the status of another response.
+template <class Message> bool containsBrokenHead(const Message &Source) {
+  const auto Reason = Source.reason();
+  return containsStatusLine({Reason.data(), Reason.size()}) ||
+         std::any_of(Source.begin(), Source.end(), [](const auto &Field) {
+           return containsStatusLine(
+               {Field.value().data(), Field.value().size()});
+         });
+}
+
 template <class Message> header_list headersOf(const Message &Source) {
   header_list Headers;
   for (const auto &Field : Source)
@@ -203,6 +233,9 @@
     if ((!IsDone && Buffer.size() > MaxResponseHeaderBytes) ||
         hasExcessiveFraming(ConsumedBytes, bodyBytes(), MaxResponseHeaderBytes))
       return fail(read_fault::HeaderTooLarge);
+    if (Parser->Beast.is_header_done() &&
+        containsBrokenHead(Parser->Beast.get()))
+      return fail(read_fault::Malformed);
     if (!IsDone)
       return read_progress::Incomplete;
     if (Parser->Beast.get().result_int() >= FirstFinalStatus)
