--- a/tests/proxy/test_endless_requests.cpp
+++ b/tests/proxy/test_endless_requests.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr caller_limits Limits{
-    .MaxHeader = 16 * 1024, .MaxBody = 64 * 1024, .HeaderTimeout = 300ms};
+    .MaxHeader = 16384, .MaxBody = 65536, .HeaderTimeout = 300ms};
 /// Bytes that a session may read beyond its limits; the others are in sockets.
 constexpr std::size_t SlackBytes = std::size_t{16} << 20U;
 
