--- a/modules/clementine_proxy/gate/instance_client.cpp
+++ b/modules/clementine_proxy/gate/instance_client.cpp
@@ -119,6 +119,8 @@
   const instance_call &call() const { return Call; }
   bool isUsableAt(instant Now) const { return Now < UsableUntil; }
   instant idleSince() const { return IdleSince; }
+  /// @returns whether a refusal came on it, which the instance may write again.
+  bool hasCarriedRefusal() const { return HasCarriedRefusal; }
 
 private:
   void send() {
@@ -229,6 +231,10 @@
   void end(run_outcome Outcome, run_cause Cause) {
     const bool WasSent =
         Cause == run_cause::Rejected || Outcome == run_outcome::Unknown;
+    if (Cause == run_cause::Rejected) {
+      HasCarriedRefusal = true;
+      KeepsConnection = KeepsConnection && Call.IsIdempotent;
+    }
     if (Outcome == run_outcome::Unknown)
       KeepsConnection = false;
     if (Outcome == run_outcome::NotRun && Cause == run_cause::TooLate)
@@ -238,17 +244,25 @@
 
   void finish(instance_result Result) {
     setBufferedBytes(0);
-    Timer.cancel();
+    disarm();
     IdleSince = now();
     Output.clear();
     Reader.reset();
     Client.ended(shared_from_this(), std::move(Result), KeepsConnection);
   }
 
+  /// A timer that has run out cannot be cancelled any more: its handler may
+  /// already be waiting behind the one that disarms it.
+  void disarm() {
+    ++TimerNumber;
+    Timer.cancel();
+  }
+
   void arm(instant Time) {
+    const std::uint64_t Number = ++TimerNumber;
     Timer.expires_after(std::max<duration>(Time - now(), duration(0)));
-    Timer.async_wait([Self = shared_from_this()](const auto &Error) {
-      if (Error || Self->IsClosed)
+    Timer.async_wait([Self = shared_from_this(), Number](const auto &Error) {
+      if (Error || Self->IsClosed || Number != Self->TimerNumber)
         return;
       if (Self->Reader)
         Self->end(run_outcome::Unknown, run_cause::NoValidResponse);
@@ -260,6 +274,8 @@
   instance_client &Client;
   tcp::socket Socket;
   asio::steady_timer Timer;
+  /// Changes whenever the timer is armed or disarmed.
+  std::uint64_t TimerNumber = 0;
   instance_call Call;
   std::string RequestId;
   std::string Output;
@@ -272,6 +288,7 @@
   bool IsReused = false;
   bool IsSending = false;
   bool KeepsConnection = false;
+  bool HasCarriedRefusal = false;
   bool IsClosed = false;
 };
 
@@ -285,7 +302,7 @@
 
 void instance_client::call(instance_call Call) {
   auto &Connection = Busy[Call.Attempt];
-  Connection = takeIdle(!Call.IsIdempotent);
+  Connection = takeIdle(Call.IsIdempotent);
   if (Connection)
     return Connection->reuse(std::move(Call));
   Connection = std::make_shared<instance_connection>(*this);
@@ -293,21 +310,35 @@
 }
 
 std::shared_ptr<instance_connection>
-instance_client::takeIdle(bool MustBeRecentlyUsed) {
+instance_client::takeIdle(bool IsIdempotent) {
   const instant Now = now();
-  while (!Idle.empty()) {
-    auto Connection = Idle.back();
-    if (Connection->isUsableAt(Now) && MustBeRecentlyUsed &&
-        Now - Connection->idleSince() > Settings.MaxIdleIfNotIdempotent)
-      return nullptr;
-    Idle.pop_back();
+  for (auto Next = Idle.end(); Next != Idle.begin();) {
+    --Next;
+    if (!IsIdempotent && (*Next)->hasCarriedRefusal())
+      continue;
+    if (!IsIdempotent && (*Next)->isUsableAt(Now) &&
+        Now - (*Next)->idleSince() > Settings.MaxIdleIfNotIdempotent)
+      break;
+    auto Connection = *Next;
+    Next = Idle.erase(Next);
     if (Connection->isUsableAt(Now) && Connection->isOpenAndIdle())
       return Connection;
     Connection->close();
   }
+  if (!IsIdempotent)
+    closeIdleWithRefusal();
   return nullptr;
 }
 
+void instance_client::closeIdleWithRefusal() {
+  const auto Oldest =
+      std::ranges::find_if(Idle, &instance_connection::hasCarriedRefusal);
+  if (Oldest == Idle.end())
+    return;
+  (*Oldest)->close();
+  Idle.erase(Oldest);
+}
+
 void instance_client::ended(
     const std::shared_ptr<instance_connection> &Connection,
     instance_result Result, bool KeepsConnection) {
