Requests with many or long header fields no longer end the node

A body of exactly max_body_bytes closed the link between two nodes and was answered 503.

Cause: the codec of the messages between nodes had limits of its own (fields, names, methods, text) that nothing compared with a request or a response before it was encoded; the encoder checks them too and throws, out of the event loop. Class: a limit that is checked in the middle of the way and not where the bytes come in.

Kin: an instance's answer with more than 1,024 fields or a long name (the gate's node ended); a long method or field value; with a max_header_bytes over 64 KiB, a field that the parser cannot store (it reports this by an exception out of the reader); trailer fields, which count as header fields afterwards; a message larger than MaxUnsentBytes, for which the link was closed even if nothing else waited.

Change: model/message_limits.h names the limits, for the codec and for the readers. They are derived from each other: what a caller may send at most (1 MiB of header, 64 MiB of body; a configuration can only lower it) fits into a message, and so does an instance's answer. The readers compare header, trailer and body with them and refuse by type (431, 413; for an instance's answer NoValidResponse, so the caller never hears "not run"). A link is closed for its unsent bytes only if they belong to more than one message.

--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -2,6 +2,7 @@
 
 #include "clementine_proxy/http/lingering_close.h"
 #include "clementine_proxy/model/boot_clock.h"
+#include "clementine_proxy/model/message_limits.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
 #include <boost/asio/buffer.hpp>
@@ -43,11 +44,19 @@
   }
 }
 
+/// Bounds what a connection buffers, whatever the configuration says.
+caller_limits bounded(caller_limits Limits) {
+  Limits.MaxHeader =
+      std::min<std::uint64_t>(Limits.MaxHeader, MaxCallerHeaderBytes);
+  Limits.MaxBody = std::min<std::uint64_t>(Limits.MaxBody, MaxCallerBodyBytes);
+  return Limits;
+}
+
 } // namespace
 
 http_session::http_session(tcp::socket Socket, http_handler &Handler)
     : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
-      Handler(Handler), Limits(Handler.limits()),
+      Handler(Handler), Limits(bounded(Handler.limits())),
       Reader(Limits.MaxHeader, Limits.MaxBody), IdleSince(now()) {
   boost::system::error_code Ignored; // The option is not essential.
   this->Socket.set_option(tcp::no_delay(true), Ignored);
--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -1,12 +1,15 @@
 #include "clementine_proxy/http/message_reader.h"
 
+#include "clementine_proxy/model/message_limits.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <cassert>
-#include <limits>
+#include <stdexcept>
 
 namespace clementine::proxy {
 
@@ -14,7 +17,6 @@
 
 namespace {
 
-constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
 /// Bytes of chunk sizes and line ends allowed for each byte of a body, enough
 /// for a body that is sent in chunks of one byte.
@@ -30,11 +32,13 @@
 }
 
 /// Feeds @p Buffer to the parser @p Target and removes the consumed bytes.
-/// @returns the last error; need_more for an incomplete message.
+/// @returns the last error; need_more for an incomplete message. A field that
+/// is longer than the parser can store, which it reports by an exception,
+/// counts as part of a header that is too large.
 /// @param ConsumedBytes increased by the number of consumed bytes.
 template <class Parser>
 boost::beast::error_code consume(Parser &Target, std::string &Buffer,
-                                 std::uint64_t &ConsumedBytes) {
+                                 std::uint64_t &ConsumedBytes) try {
   std::size_t Offset = 0;
   boost::beast::error_code Error;
   while (!Target.is_done() && Offset < Buffer.size()) {
@@ -48,6 +52,8 @@
   Buffer.erase(0, Offset);
   ConsumedBytes += Offset;
   return Error;
+} catch (const std::length_error &) {
+  return http::error::header_limit;
 }
 
 read_fault faultOf(const boost::beast::error_code &Error) {
@@ -58,6 +64,18 @@
   return read_fault::Malformed;
 }
 
+/// Whether the header and trailer fields of a message fit into one message
+/// between nodes.
+template <class Message> bool hasAcceptableFields(const Message &Source) {
+  std::uint64_t Count = 0;
+  std::uint64_t Bytes = 0;
+  for (const auto &Field : Source) {
+    ++Count;
+    Bytes += Field.name_string().size() + Field.value().size();
+  }
+  return Count <= MaxAcceptedFields && Bytes <= MaxFieldBytes;
+}
+
 template <class Message> header_list headersOf(const Message &Source) {
   header_list Headers;
   for (const auto &Field : Source)
@@ -90,7 +108,8 @@
 };
 
 request_reader::request_reader(std::uint64_t MaxHeader, std::uint64_t MaxBody)
-    : MaxHeader(MaxHeader), MaxBody(MaxBody) {
+    : MaxHeader(std::min<std::uint64_t>(MaxHeader, MaxCallerHeaderBytes)),
+      MaxBody(std::min<std::uint64_t>(MaxBody, MaxCallerBodyBytes)) {
   reset();
 }
 
@@ -99,8 +118,7 @@
 void request_reader::reset() {
   Parser = std::make_unique<parser>();
   Parser->Beast.eager(true);
-  Parser->Beast.header_limit(static_cast<std::uint32_t>(std::min<std::uint64_t>(
-      MaxHeader, std::numeric_limits<std::uint32_t>::max())));
+  Parser->Beast.header_limit(static_cast<std::uint32_t>(MaxHeader));
   Parser->Beast.body_limit(MaxBody);
   HasPartialRequest = false;
   ConsumedBytes = 0;
@@ -127,6 +145,8 @@
     return fail(read_fault::HeaderTooLarge);
   if (!IsDone)
     return read_progress::Incomplete;
+  if (!hasAcceptableFields(Parser->Beast.get()))
+    return fail(read_fault::HeaderTooLarge);
   return isUnambiguous() ? read_progress::Complete
                          : fail(read_fault::Malformed);
 }
@@ -173,7 +193,8 @@
 };
 
 response_reader::response_reader(bool IsForHead, std::uint64_t MaxBody)
-    : IsForHead(IsForHead), MaxBody(MaxBody) {
+    : IsForHead(IsForHead),
+      MaxBody(std::min<std::uint64_t>(MaxBody, MaxBodyLength)) {
   reset();
 }
 
@@ -205,6 +226,8 @@
       return fail(read_fault::HeaderTooLarge);
     if (!IsDone)
       return read_progress::Incomplete;
+    if (!hasAcceptableFields(Parser->Beast.get()))
+      return fail(read_fault::HeaderTooLarge);
     if (Parser->Beast.get().result_int() >= FirstFinalStatus)
       return read_progress::Complete;
     reset();
--- a/modules/clementine_proxy/http/message_reader.h
+++ b/modules/clementine_proxy/http/message_reader.h
@@ -40,8 +40,8 @@
 /// are rejected here.
 class request_reader {
 public:
-  /// @param MaxHeader in bytes.
-  /// @param MaxBody in bytes.
+  /// @param MaxHeader in bytes; at most MaxCallerHeaderBytes take effect.
+  /// @param MaxBody in bytes; at most MaxCallerBodyBytes take effect.
   request_reader(std::uint64_t MaxHeader, std::uint64_t MaxBody);
   ~request_reader();
 
--- a/modules/clementine_proxy/peers/peer_link.cpp
+++ b/modules/clementine_proxy/peers/peer_link.cpp
@@ -42,10 +42,12 @@
 void peer_link::send(const peer_message &Message) {
   if (!IsOpen)
     return;
-  Unsent += encodeFrame(Message, std::chrono::duration_cast<microseconds>(
-                                     boot_clock().now().time_since_epoch()));
-  if (Unsent.size() > MaxUnsentBytes)
+  const std::string Frame =
+      encodeFrame(Message, std::chrono::duration_cast<microseconds>(
+                               boot_clock().now().time_since_epoch()));
+  if (!Unsent.empty() && Unsent.size() + Frame.size() > MaxUnsentBytes)
     return close();
+  Unsent += Frame;
   if (Sending.empty())
     write();
 }
--- a/modules/clementine_proxy/peers/peer_link.h
+++ b/modules/clementine_proxy/peers/peer_link.h
@@ -35,7 +35,8 @@
   /// TCP_USER_TIMEOUT: the connection fails if sent bytes stay unacknowledged
   /// for longer.
   static constexpr unsigned TcpUserTimeoutMilliseconds = 3000;
-  /// The link is closed when more unsent bytes than this wait for a slow peer.
+  /// The link is closed when more unsent bytes than this wait for a slow peer,
+  /// unless they belong to a single message.
   static constexpr std::size_t MaxUnsentBytes = std::size_t{64} << 20U;
 
   /// @param Socket must be connected.
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -14,10 +14,8 @@
 
 namespace clementine {
 
-constexpr std::uint32_t MaxAddressLength = 64;
-
 template <class Archive> void serialize(Archive &Fields, endpoint &Value) {
-  Fields(bounded_string{Value.Host, MaxAddressLength}, Value.Port);
+  Fields(bounded_string{Value.Host, proxy::MaxAddressLength}, Value.Port);
 }
 
 template <class Archive> void serialize(Archive &Fields, request_id &Id) {
@@ -28,11 +26,13 @@
 
 namespace cereal {
 
-/// Serializes a header field, with limits in bytes for its name and value.
+/// Serializes a header field.
 template <class Archive>
 void serialize(Archive &Fields, std::pair<std::string, std::string> &Header) {
-  Fields(clementine::bounded_string{Header.first, 1024},
-         clementine::bounded_string{Header.second, 256 * 1024});
+  Fields(clementine::bounded_string{Header.first,
+                                    clementine::proxy::MaxTextLength},
+         clementine::bounded_string{Header.second,
+                                    clementine::proxy::MaxTextLength});
 }
 
 } // namespace cereal
@@ -43,19 +43,15 @@
 
 constexpr std::size_t LengthBytes = 4;
 
-constexpr std::uint32_t MaxNameLength = 1024;
-constexpr std::uint32_t MaxHeaderLength = 256 * 1024;
-constexpr std::uint32_t MaxBodyLength = 70U << 20U;
-constexpr std::uint32_t MaxHeaderCount = 1024;
 constexpr std::uint32_t MaxServiceCount = 4096;
 constexpr std::uint32_t MaxRouteCount = 65536;
 
 bounded_string name(std::string &Text) { return {Text, MaxNameLength}; }
-bounded_string text(std::string &Text) { return {Text, MaxHeaderLength}; }
+bounded_string text(std::string &Text) { return {Text, MaxTextLength}; }
 bounded_string body(std::string &Text) { return {Text, MaxBodyLength}; }
 
 bounded_list<std::pair<std::string, std::string>> headers(header_list &List) {
-  return {List, MaxHeaderCount};
+  return {List, MaxFieldCount};
 }
 
 template <class Archive>
@@ -105,7 +101,7 @@
 }
 
 template <class Archive> void serialize(Archive &Target, request &Value) {
-  Target(name(Value.Method), text(Value.Target), headers(Value.Headers),
+  Target(text(Value.Method), text(Value.Target), headers(Value.Headers),
          body(Value.Body), Value.KeepsAlive);
 }
 
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -3,6 +3,7 @@
 
 #include "clementine_proxy/http/messages.h"
 #include "clementine_proxy/model/instance_record.h"
+#include "clementine_proxy/model/message_limits.h"
 #include "clementine_proxy/model/routing_config.h"
 
 #include <chrono>
@@ -184,9 +185,6 @@
 /// that it has left. Does nothing for other messages.
 void reduceTimeLeft(peer_message &Message, duration Delay);
 
-/// Maximum size of one encoded message, without the length prefix.
-constexpr std::size_t MaxPeerMessageBytes = std::size_t{72} << 20U;
-
 /// @returns the encoded message, prefixed by its length: 4 bytes, big endian.
 /// Fields that were added later follow the message: a node of an earlier
 /// version ignores them.
