--- a/modules/clementine_proxy/clementine_proxy.h
+++ b/modules/clementine_proxy/clementine_proxy.h
@@ -19,6 +19,7 @@
 #include "clementine_proxy/http/message_reader.h"
 #include "clementine_proxy/http/messages.h"
 #include "clementine_proxy/model/boot_clock.h"
+#include "clementine_proxy/model/input_text.h"
 #include "clementine_proxy/model/instance_record.h"
 #include "clementine_proxy/model/message_limits.h"
 #include "clementine_proxy/model/routing_config.h"
--- a/modules/clementine_proxy/model/instance_record.cpp
+++ b/modules/clementine_proxy/model/instance_record.cpp
@@ -25,7 +25,7 @@
   if (Departed)
     Record["departed"] = {{"instance", Departed->Instance},
                           {"started", Departed->StartedAt}};
-  return Record.dump();
+  return Record.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<node_record> node_record::decode(std::string_view Text) {
--- a/modules/clementine_proxy/model/instance_record.h
+++ b/modules/clementine_proxy/model/instance_record.h
@@ -59,7 +59,8 @@
 
   bool operator==(const node_record &) const = default;
 
-  /// @returns the JSON text that is written to the store.
+  /// @returns the JSON text that is written to the store. Bytes of a name that
+  /// are not UTF-8 are replaced.
   std::string encoded() const;
 
   /// Parses the result of encoded().
