Odd entries of the store are refused before anything is made of them

What others saw: another writer's record with port 70000 was read as port 4464, one with negative or huge numbers as other numbers, one that nests very deeply was parsed to its end, and one with names or an address too long for a message between nodes was taken and threw out of the codec when it was passed on. A configuration with such names did the same when another node asked for it.

Cause: nlohmann::json converts numbers out of range silently (from a floating point number this is undefined), and nothing compared names, counts and nesting with the limits of the messages. Class: a limit that is not compared where the bytes come in.

Change: parseJson() refuses texts that nest more than 32 levels before anything is allocated for them; unsignedOf() is the one way to read a number, with its bounds. Records and configurations whose names, address, counts or prefix could not be passed on are refused; the entry is ignored with a log line that names its key and the others hold. A record of a process that starts after the year 9999 is refused, as no later process of that node could replace it.

The tasks did not end there: that nesting ends a process could not be shown on this code.

--- a/modules/clementine_proxy/clementine_proxy.h
+++ b/modules/clementine_proxy/clementine_proxy.h
@@ -21,6 +21,7 @@
 #include "clementine_proxy/model/boot_clock.h"
 #include "clementine_proxy/model/input_text.h"
 #include "clementine_proxy/model/instance_record.h"
+#include "clementine_proxy/model/json_text.h"
 #include "clementine_proxy/model/message_limits.h"
 #include "clementine_proxy/model/routing_config.h"
 #include "clementine_proxy/node/batch_backoff.h"
--- a/modules/clementine_proxy/model/instance_record.cpp
+++ b/modules/clementine_proxy/model/instance_record.cpp
@@ -1,7 +1,13 @@
 #include "clementine_proxy/model/instance_record.h"
 
+#include "clementine_proxy/model/input_text.h"
+#include "clementine_proxy/model/json_text.h"
+#include "clementine_proxy/model/message_limits.h"
+
 #include <boost/asio/ip/address.hpp>
-#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <stdexcept>
 
 namespace clementine::proxy {
 
@@ -9,10 +15,29 @@
 
 namespace {
 
+constexpr std::uint64_t MaxPort = 65535;
+/// Of an instance; a departure without a known start holds for every run.
+constexpr std::uint64_t MaxStart = std::numeric_limits<std::int64_t>::max();
+
 bool isAddress(const std::string &Host) {
   boost::system::error_code Error;
   boost::asio::ip::make_address(Host, Error);
-  return !Error;
+  return !Error && Host.size() <= MaxAddressLength;
+}
+
+/// @name nameIn, numberIn
+/// The value of a field of @p Object.
+/// @throws std::exception when it is missing, of another type or out of range.
+std::string nameIn(const json &Object, const char *Field) {
+  auto Text = Object.at(Field).get<std::string>();
+  if (!isName(Text))
+    throw std::out_of_range(Field);
+  return Text;
+}
+
+template <class Number>
+Number numberIn(const json &Object, const char *Field, std::uint64_t Highest) {
+  return static_cast<Number>(unsignedOf(Object.at(Field), Highest).value());
 }
 
 } // namespace
@@ -29,26 +54,29 @@
 }
 
 std::optional<node_record> node_record::decode(std::string_view Text) {
-  const json Parsed = json::parse(Text, nullptr, false);
+  const json Parsed = parseJson(Text);
   if (!Parsed.is_object())
     return std::nullopt;
   try {
     node_record Record;
-    Record.Node = Parsed.at("node").get<std::string>();
-    Record.Incarnation = Parsed.at("incarnation").get<std::uint64_t>();
-    Record.Zone = Parsed.at("zone").get<std::string>();
-    Record.Peer = {Parsed.at("host").get<std::string>(),
-                   Parsed.at("port").get<std::uint16_t>()};
-    if (!isAddress(Record.Peer.Host) || Record.Peer.Port == 0)
+    Record.Node = nameIn(Parsed, "node");
+    Record.Incarnation =
+        numberIn<std::uint64_t>(Parsed, "incarnation", MaxWallMilliseconds);
+    Record.Zone = nameIn(Parsed, "zone");
+    Record.Peer = {nameIn(Parsed, "host"),
+                   numberIn<std::uint16_t>(Parsed, "port", MaxPort)};
+    if (Record.Node.empty() || !isAddress(Record.Peer.Host) ||
+        Record.Peer.Port == 0)
       return std::nullopt;
-    Record.Service = Parsed.at("service").get<std::string>();
-    Record.Instance = Parsed.at("instance").get<std::string>();
-    Record.Slots = Parsed.at("slots").get<std::uint32_t>();
+    Record.Service = nameIn(Parsed, "service");
+    Record.Instance = nameIn(Parsed, "instance");
+    Record.Slots = numberIn<std::uint32_t>(Parsed, "slots", MaxInstanceSlots);
     if (const auto Run = Parsed.find("departed"); Run != Parsed.end())
-      Record.Departed = instance_run{Run->at("instance").get<std::string>(),
-                                     Run->at("started").get<std::int64_t>()};
+      Record.Departed =
+          instance_run{nameIn(*Run, "instance"),
+                       numberIn<std::int64_t>(*Run, "started", MaxStart)};
     return Record;
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
--- a/modules/clementine_proxy/model/message_limits.h
+++ b/modules/clementine_proxy/model/message_limits.h
@@ -15,6 +15,16 @@
 /// The longest textual form of a network address, in bytes.
 constexpr std::uint32_t MaxAddressLength = 64;
 
+/// The most services and routes of a configuration, and services of a route.
+constexpr std::uint32_t MaxServiceCount = 4096;
+constexpr std::uint32_t MaxRouteCount = 65536;
+
+/// The most requests that an instance can say to run at once.
+constexpr std::uint32_t MaxInstanceSlots = 1'000'000;
+/// The latest start of a process in wall-clock milliseconds: the end of the
+/// year 9999.
+constexpr std::uint64_t MaxWallMilliseconds = 253'402'300'799'999;
+
 /// The largest header that a caller may send, in bytes. A configuration can
 /// only lower it.
 constexpr std::uint32_t MaxCallerHeaderBytes = 1U << 20U;
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -43,9 +43,6 @@
 
 constexpr std::size_t LengthBytes = 4;
 
-constexpr std::uint32_t MaxServiceCount = 4096;
-constexpr std::uint32_t MaxRouteCount = 65536;
-
 bounded_string name(std::string &Text) { return {Text, MaxNameLength}; }
 bounded_string text(std::string &Text) { return {Text, MaxTextLength}; }
 bounded_string body(std::string &Text) { return {Text, MaxBodyLength}; }
--- a/tests/users_platform/test_odd_input.cpp
+++ b/tests/users_platform/test_odd_input.cpp
@@ -1,13 +1,21 @@
 #include "users_platform.h"
 
+#include "../stand_in/free_endpoint.h"
 #include "clementine_proxy/clementine_proxy.h"
+#include "clementine_proxy/node/store_synchronizer.h"
+#include "stand_in_users_platform/kv_store.h"
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <string>
+#include <vector>
 
 using namespace clementine;
 using namespace clementine::proxy;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -36,6 +44,49 @@
   return Record.Instance;
 }
 
+/// Records what a synchronizer reads from the store.
+class recording_listener final : public store_listener {
+public:
+  void configRead(const std::shared_ptr<const routing_config> &Config,
+                  platform_revision) override {
+    Configs.push_back(Config->Version);
+  }
+  void recordsListed(const std::vector<node_record> &Records,
+                     platform_revision) override {
+    Listed.clear();
+    for (const node_record &Record : Records)
+      Listed.push_back(Record.Node);
+  }
+  void recordChanged(const node_record &Record, platform_revision) override {
+    Changed.push_back(Record.Node);
+  }
+  void recordRemoved(const std::string &, platform_revision) override {}
+
+  std::vector<std::uint64_t> Configs;
+  std::vector<std::string> Listed;
+  std::vector<std::string> Changed;
+};
+
+std::string recordOf(const std::string &Node) {
+  return node_record{Node, 5, "z", {"10.0.0.1", 7000}, "s", "i-1", 65}
+      .encoded();
+}
+
+std::string configOf(unsigned Version) {
+  return R"({"version":"r)" + std::to_string(Version) + R"(","resources":[]})";
+}
+
+/// Values that another writer may have left.
+std::vector<std::string> oddValues() {
+  return {"",
+          std::string(500000, '['),
+          std::string(500000, '[') + std::string(500000, ']'),
+          R"({"node":"odd","port":70000,"incarnation":1e300})",
+          std::string("\xff\xfe\0\x01", 4),
+          "[]",
+          "null"};
+}
+
 const char *const OddIds[] = {"i-7\xe1",      "\xff",  "i-\xc3", "\xc0\xaf",
                               "\xed\xa0\x80", "i\x01", "i\x7f"};
 
@@ -71,3 +122,76 @@
   Record.Departed = instance_run{"i\xff", 1};
   CHECK_NOTHROW(Record.encoded());
 }
+
+TEST_CASE("odd entries of another writer don't end the tasks that follow the "
+          "store, and the entries behind them are read") {
+  const endpoint Address = findFreeEndpoint();
+  stand_in::kv_store Server{Address};
+  const auto Adapter = makeUsersPlatform(Address);
+  const std::string Prefix(store_synchronizer::RecordPrefix);
+  int Number = 0;
+  const auto LeaveOddEntries = [&] {
+    for (const std::string &Value : oddValues())
+      Server.put(Prefix + "odd-" + std::to_string(++Number), Value);
+    Server.put(Prefix + "odd\x7f \xc3\xa9", recordOf("other"));
+    Server.put(Prefix, recordOf(""));
+  };
+  LeaveOddEntries();
+  Server.put(Prefix + "sound-1", recordOf("sound-1"));
+  Server.put(Adapter->configKey(), std::string(500000, '['));
+  Server.put(Adapter->configKey() + "-of-others", "\xff");
+
+  asio::io_context Loop;
+  const auto Work = asio::make_work_guard(Loop);
+  metrics_registry Metrics;
+  recording_listener Listener;
+  store_synchronizer Store(*Adapter, Loop, "own", Metrics, Listener);
+  const auto Tasks = Store.tasks();
+  const auto AwaitOnLoop = [&](const auto &Condition) {
+    for (int Step = 0; Step < 500 && !Condition(); ++Step) {
+      Loop.restart();
+      Loop.run_for(std::chrono::milliseconds(20));
+    }
+    return Condition();
+  };
+  Tasks->start();
+  CHECK(AwaitOnLoop([&] { return !Listener.Listed.empty(); }));
+  CHECK(Listener.Listed == std::vector<std::string>{"sound-1"});
+
+  LeaveOddEntries();
+  Server.put(Prefix + "sound-2", recordOf("sound-2"));
+  for (const std::string &Value : oddValues())
+    Server.put(Adapter->configKey(), Value);
+  Server.put(Adapter->configKey(), configOf(7));
+  CHECK(AwaitOnLoop(
+      [&] { return !Listener.Changed.empty() && !Listener.Configs.empty(); }));
+  CHECK(Listener.Changed == std::vector<std::string>{"sound-2"});
+  CHECK(Listener.Configs == std::vector<std::uint64_t>{7});
+  Adapter->store().interrupt();
+  Tasks->stop();
+}
+
+TEST_CASE("a configuration that could not be passed on to other nodes is "
+          "refused") {
+  const auto Decode = [](const std::string &Name, const std::string &Host,
+                         const std::string &Service) {
+    return Platform
+        ->decodeConfig(
+            R"({"version":"r1","resources":[{"entry_kind":"routes","metadata":)"
+            R"({"name":")" +
+            Name + R"("},"spec":{"host":")" + Host +
+            R"(","prefix":"/p/","kind":"idempotent","timeout_ms":1000,)"
+            R"("service":")" +
+            Service + R"("}}]})")
+        .has_value();
+  };
+  const std::string Long(MaxNameLength + 1, 'x');
+  CHECK(Decode("r", "h", "s"));
+  CHECK_FALSE(Decode(Long, "h", "s"));
+  CHECK_FALSE(Decode("r", Long, "s"));
+  CHECK_FALSE(Decode("r", "h", Long));
+  CHECK_FALSE(Decode("r", "h", R"(\r\nX: y)"));
+  std::string Deep = R"({"version":"r1","resources":[],"x":)";
+  Deep += std::string(100000, '[') + std::string(100000, ']') + "}";
+  CHECK_FALSE(Platform->decodeConfig(Deep));
+}
