An exception in the housekeeping leaves its timer armed

Cause: the work stands between the timer's firing and its next arming. Class: an exception in one run ends more than that run.

Change: repeating_timer arms first, then works; an exception ends that run, is logged with the timer's name and counted in clementine_timer_faults_total. The housekeeping uses it.

Not done: the decision timer, the timers of links and sessions, and the handling of a request or a frame still let exceptions out of the loop.

--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -14,6 +14,7 @@
 #include "clementine_proxy/node/operator_endpoints.h"
 #include "clementine_proxy/node/process_start.h"
 #include "clementine_proxy/node/record_exchange.h"
+#include "clementine_proxy/node/repeating_timer.h"
 #include "clementine_proxy/node/stop_timing.h"
 #include "clementine_proxy/peers/peer_hub.h"
 #include "clementine_telemetry/clementine_telemetry.h"
@@ -60,7 +61,9 @@
         Forwarder(forwarderSettingsOf(Settings), Adapter.headers(), Directory,
                   *this, Random),
         Peers(Loop, {}, Settings.PeerListen, *this),
-        Decisions(Loop, Forwarder, Gate), Housekeeping(Loop),
+        Decisions(Loop, Forwarder, Gate),
+        Housekeeping(Loop, Metrics, "housekeeping", HousekeepingInterval,
+                     [this] { runHousekeeping(); }),
         ConfigExchange(Forwarder, Peers),
         CallerHandler(Forwarder, Metrics, [this] { schedule(); }),
         ReportHandler(Registration,
@@ -95,7 +98,7 @@
     Control.start();
     Ready.start();
     MetricsServer.start();
-    runHousekeeping();
+    Housekeeping.start();
     StatusPublisher.publish();
     Root.start();
     Log.info("node started", {{"node", Settings.Name},
@@ -306,11 +309,6 @@
     if (StatusPublisher.isLeaving() && !HasStoppedAccepting &&
         Now - LeavingSince > ReadinessPropagationTime)
       stopAcceptingCalls();
-    Housekeeping.expires_after(HousekeepingInterval);
-    Housekeeping.async_wait([this](const auto &Error) {
-      if (!Error)
-        runHousekeeping();
-    });
   }
 
   /// @name Stopping
@@ -342,7 +340,7 @@
     Peers.stop();
     Client.stop();
     Decisions.stop();
-    Housekeeping.cancel();
+    Housekeeping.stop();
   }
 
   const proxy_settings Settings;
@@ -360,7 +358,7 @@
   forwarder Forwarder;
   peer_hub Peers;
   decision_timer Decisions;
-  asio::steady_timer Housekeeping;
+  repeating_timer Housekeeping;
   config_exchange ConfigExchange;
   caller_request_handler CallerHandler;
   instance_report_handler ReportHandler;
