--- a/tests/proxy/test_odd_records.cpp
+++ b/tests/proxy/test_odd_records.cpp
@@ -69,7 +69,8 @@
     CHECK_FALSE(node_record::decode(R"({"node":)" + Text + "}"));
     std::string Extra = Valid.encoded();
     Extra.pop_back();
-    CHECK_FALSE(node_record::decode(Extra + R"(,"x":)" + Text + "}"));
+    Extra.append(R"(,"x":)").append(Text).append("}");
+    CHECK_FALSE(node_record::decode(Extra));
   }
   std::string Brackets = Valid.encoded();
   Brackets.pop_back();
