Attempts are numbered by the process that sends them

No behaviour changes but the bytes of three messages.

The order of an attempt and the query about it now carry their origin: the node and incarnation of the entry, and a number that rises with each attempt that it sends. A report says whether its "not run" is proven. The fields stand behind the message in the frame, so earlier versions ignore them; a frame that ends before them is that of an earlier version and has no number and no proof.

--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <set>
 #include <utility>
 
 namespace clementine::proxy {
@@ -131,9 +130,15 @@
       duration_cast<microseconds>(Call.TimeoutAt - Now).count();
   AttemptRequest.Request = Call.Request;
   Call.Attempt->IsSent = true;
+  Call.Attempt->Number = ++LastNumber;
+  AttemptRequest.Origin = originOf(*Call.Attempt);
   Port.send(Call.Attempt->Node, std::move(AttemptRequest));
 }
 
+attempt_origin forwarder::originOf(const attempt &Attempt) const {
+  return {Settings.OwnNode, Settings.Incarnation, Attempt.Number};
+}
+
 void forwarder::handleReport(const std::string &Node, run_report Report,
                              instant Now) {
   Directory.status(Node, Report.Gate);
@@ -283,88 +288,6 @@
   }
 }
 
-void forwarder::linkUp(const std::string &Node, std::uint64_t Incarnation,
-                       instant Now) {
-  std::vector<call_pointer> Waiting;
-  for (const auto &[Id, Call] : CallsByAttempt)
-    if (Call->Attempt && Call->Attempt->Node == Node)
-      Waiting.push_back(Call);
-  for (const call_pointer &Call : Waiting) {
-    attempt &Attempt = *Call->Attempt;
-    if (!Attempt.IsSent) {
-      Attempt.Incarnation = Incarnation;
-      sendAttempt(*Call, Now);
-    } else if (Attempt.Incarnation == Incarnation) {
-      Port.send(Node, run_query{Attempt.Id});
-    } else {
-      run_report Report;
-      Report.Outcome = run_outcome::Unknown;
-      Report.Cause = run_cause::LinkLost;
-      Report.ReachedInstance = true;
-      attemptEnded(Call, Report, Now);
-    }
-  }
-}
-
-void forwarder::linkDown(const std::string &Node, bool WasUp, instant Now) {
-  Directory.markDisconnected(Node, Now);
-  std::vector<call_pointer> Unsent;
-  for (const auto &[Id, Call] : CallsByAttempt)
-    if (Call->Attempt && Call->Attempt->Node == Node && !Call->Attempt->IsSent)
-      Unsent.push_back(Call);
-  for (const call_pointer &Call : Unsent) {
-    run_report Report;
-    Report.Cause = run_cause::Unreachable;
-    attemptEnded(Call, Report, Now);
-  }
-  // The results of attempts already sent are queried on a new link, if one can
-  // be opened.
-  if (WasUp)
-    reopenLinks();
-  else
-    linkUnresponsive(Node, Now);
-}
-
-void forwarder::linkUnresponsive(const std::string &Node, instant Now) {
-  std::vector<call_pointer> Waiting;
-  for (const auto &[Id, Call] : CallsByAttempt)
-    if (Call->Attempt && Call->Attempt->Node == Node && Call->Attempt->IsSent &&
-        !Call->Attempt->IsCancelled && Call->Route->IsIdempotent)
-      Waiting.push_back(Call);
-  for (const call_pointer &Call : Waiting) {
-    if (!mayRetryElsewhere(*Call, Now))
-      continue;
-    Port.send(Node, run_cancel{Call->Attempt->Id, true});
-    run_report Report;
-    Report.Outcome = run_outcome::Unknown;
-    Report.Cause = run_cause::LinkLost;
-    Report.ReachedInstance = true;
-    closeAttempt(*Call, Report, Now);
-    tryNextGate(Call, Now);
-  }
-}
-
-/// Whether a call may be retried at another gate while its current attempt may
-/// still be running. If so, this consumes a retry from the service's budget.
-bool forwarder::mayRetryElsewhere(call &Call, instant Now) {
-  if (Now >= Call.TimeoutAt || Call.Offers >= Settings.MaxOffers ||
-      Call.InstancesReached + 1 >= Call.Route->MaxAttempts)
-    return false;
-  const known_gate *Other = Directory.choose(Call.Service, Call.Tried, Now);
-  return Other != nullptr && Now >= Other->DownUntil &&
-         Budgets.at(Call.Service).tryAcquire(Now);
-}
-
-void forwarder::reopenLinks() {
-  std::set<std::string> NodesWithAttempts;
-  for (const auto &[Id, Call] : CallsByAttempt)
-    if (Call->Attempt && Call->Attempt->IsSent)
-      NodesWithAttempts.insert(Call->Attempt->Node);
-  for (const std::string &Node : NodesWithAttempts)
-    if (const known_gate *Gate = Directory.find(Node))
-      Port.openLink(Gate->Record);
-}
-
 void forwarder::passTime(instant Now) {
   while (!Wakes.empty() && Wakes.begin()->first <= Now) {
     const call_pointer Call = Calls.at(Wakes.begin()->second);
--- a/modules/clementine_proxy/entry/forwarder.h
+++ b/modules/clementine_proxy/entry/forwarder.h
@@ -32,6 +32,8 @@
   duration CancelGrace = std::chrono::milliseconds(80);
   /// The value of the Retry-After header of 503 responses.
   duration RetryAfter = std::chrono::milliseconds(300);
+  /// The start of this process, higher than that of the node's earlier ones.
+  std::uint64_t Incarnation = 0;
   /// How long after its arrival a request may wait for an available instance.
   duration MaxParkingTime = std::chrono::milliseconds(100);
   /// The interval at which a waiting request looks for an instance again.
@@ -116,6 +118,8 @@
     /// The incarnation of the node to which it was sent; 0 while it waits for
     /// the link.
     std::uint64_t Incarnation = 0;
+    /// Its number among the attempts that were sent; 0 until it is sent.
+    std::uint64_t Number = 0;
     bool IsSent = false;
     bool IsCancelled = false;
   };
@@ -143,6 +147,7 @@
 
   void tryNextGate(const call_pointer &Call, instant Now);
   void sendAttempt(call &Call, instant Now);
+  attempt_origin originOf(const attempt &Attempt) const;
   void attemptEnded(const call_pointer &Call, run_report &Report, instant Now);
   void closeAttempt(call &Call, const run_report &Report, instant Now);
   bool mayRetryElsewhere(call &Call, instant Now);
@@ -162,6 +167,7 @@
   random_source &Random;
   std::shared_ptr<const route_table> Routes;
   instant RefusesFrom = instant::max();
+  std::uint64_t LastNumber = 0;
   std::unordered_map<call_number, call_pointer> Calls;
   std::unordered_map<attempt_id, call_pointer, request_id_hash> CallsByAttempt;
   std::multimap<instant, call_number> Wakes;
--- a/modules/clementine_proxy/node/component_settings.cpp
+++ b/modules/clementine_proxy/node/component_settings.cpp
@@ -17,10 +17,12 @@
   return Directory;
 }
 
-forwarder_settings forwarderSettingsOf(const proxy_settings &Settings) {
+forwarder_settings forwarderSettingsOf(const proxy_settings &Settings,
+                                       std::uint64_t Incarnation) {
   forwarder_settings Forwarder;
   Forwarder.OwnNode = Settings.Name;
   Forwarder.OwnService = Settings.Service;
+  Forwarder.Incarnation = Incarnation;
   Forwarder.Retries.Window = Settings.RetryWindow;
   Forwarder.Retries.Ratio = NodeRetryShare * Settings.RetryRatio.Value;
   return Forwarder;
--- a/modules/clementine_proxy/node/component_settings.h
+++ b/modules/clementine_proxy/node/component_settings.h
@@ -10,7 +10,9 @@
 
 /// @name The settings of a node's components, derived from those of the node
 directory_settings directorySettingsOf(const proxy_settings &Settings);
-forwarder_settings forwarderSettingsOf(const proxy_settings &Settings);
+/// @param Incarnation of this process; see node_record.
+forwarder_settings forwarderSettingsOf(const proxy_settings &Settings,
+                                       std::uint64_t Incarnation);
 instance_client_settings clientSettingsOf(const proxy_settings &Settings);
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -57,8 +57,8 @@
                  schedule();
                }),
         Directory(directorySettingsOf(Settings), Random),
-        Forwarder(forwarderSettingsOf(Settings), Adapter.headers(), Directory,
-                  *this, Random),
+        Forwarder(forwarderSettingsOf(Settings, Incarnation), Adapter.headers(),
+                  Directory, *this, Random),
         Peers(Loop, {}, Settings.PeerListen, *this),
         Decisions(Loop, Forwarder, Gate), Housekeeping(Loop),
         ConfigExchange(Forwarder, Peers),
@@ -83,7 +83,7 @@
              [this](bool IsPrompt) { Store.readRecordsPromptly(IsPrompt); }}),
         Store(Adapter, Loop, Settings.Name, Metrics, Records),
         StatusPublisher({Settings, Registration, Gate, Directory, Peers, Store},
-                        wallMilliseconds()),
+                        Incarnation),
         Root("proxy") {
     Registration.hold();
     addTasks();
@@ -348,6 +348,7 @@
   const proxy_settings Settings;
   deployment_adapter &Adapter;
   const logger Log{"node"};
+  const std::uint64_t Incarnation = wallMilliseconds();
   seeded_random Random;
   metrics_registry Metrics;
   asio::io_context Loop{1};
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -268,7 +268,7 @@
 
 /// @name serializeExtension
 /// The fields of a message that were added after the first version; they stand
-/// behind it in its frame.
+/// behind it in its frame, and are all missing in a frame of that version.
 template <class Archive, class Message>
 void serializeExtension(Archive &, Message &) {}
 
@@ -278,6 +278,26 @@
   serializeDeparture(Fields, Value.ReceiverDeparture);
 }
 
+template <class Archive>
+void serializeOrigin(Archive &Fields, attempt_origin &Value) {
+  Fields(name(Value.Node), Value.Incarnation, Value.Number);
+}
+
+template <class Archive>
+void serializeExtension(Archive &Fields, attempt_request &Value) {
+  serializeOrigin(Fields, Value.Origin);
+}
+
+template <class Archive>
+void serializeExtension(Archive &Fields, run_query &Value) {
+  serializeOrigin(Fields, Value.Origin);
+}
+
+template <class Archive>
+void serializeExtension(Archive &Fields, run_report &Value) {
+  Fields(Value.IsProven);
+}
+
 template <class Archive>
 void serializeExtension(Archive &Fields, record_update &Value) {
   serializeDeparture(Fields, Value.Record.Departed);
@@ -337,6 +357,8 @@
       std::int64_t Microseconds = 0;
       Archive(Microseconds);
       SentAt.emplace(Microseconds);
+    }
+    if (Stream.peek() != std::istream::traits_type::eof()) {
       std::visit([&Archive](auto &Each) { serializeExtension(Archive, Each); },
                  Message);
     }
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -43,6 +43,21 @@
   bool operator==(const peer_hello &) const = default;
 };
 
+/// The process that sent an attempt, and the attempt's number among those that
+/// it has sent. By the numbers a gate knows of which attempts it still
+/// remembers everything.
+struct attempt_origin {
+  std::string Node;
+  /// Orders the processes of the node.
+  std::uint64_t Incarnation = 0;
+  /// Rises with each attempt that the process sends, from 1; 0 if the sender,
+  /// of an earlier version, does not number its attempts.
+  std::uint64_t Number = 0;
+
+  bool isNumbered() const { return Number != 0; }
+  bool operator==(const attempt_origin &) const = default;
+};
+
 /// Asks a gate to run a request on its instance.
 struct attempt_request {
   attempt_id Attempt;
@@ -57,6 +72,7 @@
   /// Time left until the entry node sends its final response, in microseconds.
   std::int64_t TimeLeftMicroseconds = 0;
   request Request;
+  attempt_origin Origin = {};
 
   bool operator==(const attempt_request &) const = default;
 };
@@ -94,7 +110,8 @@
   NoValidResponse,
   /// The link to the gate was lost.
   LinkLost,
-  /// The gate has no record of the attempt, and refuses it from now on.
+  /// The gate has no record of the attempt, and refuses it from now on, or no
+  /// longer has its response.
   UnknownAttempt,
 };
 
@@ -113,14 +130,19 @@
   gate_status Gate;
   /// Version of the configuration in force on the gate's node.
   std::uint64_t ConfigVersion = 0;
+  /// Whether the outcome NotRun rests on a record or on the attempt's number. A
+  /// gate of an earlier version also says NotRun of runs that it has forgotten.
+  bool IsProven = false;
 
   bool operator==(const run_report &) const = default;
 };
 
 /// Asks for the outcome of an attempt whose link was lost. A gate that has no
-/// record of the attempt will never run it afterwards.
+/// record of the attempt will never run it afterwards. It reports NotRun only
+/// if it would have a record of any attempt with that number.
 struct run_query {
   attempt_id Attempt;
+  attempt_origin Origin = {};
 
   bool operator==(const run_query &) const = default;
 };
--- a/tests/proxy/test_messages.cpp
+++ b/tests/proxy/test_messages.cpp
@@ -135,10 +135,12 @@
   AttemptRequest.HasLowestPriority = true;
   AttemptRequest.Request = {
       "POST", "/p", {{"A", "b"}}, std::string(1, '\0'), true};
+  AttemptRequest.Origin = {"n", 5, 6};
   run_report Report;
   Report.Outcome = run_outcome::Completed;
   Report.Response = {200, {{"C", "d"}}, "body", true};
   Report.ConfigVersion = 9;
+  Report.IsProven = true;
   config_transfer Transfer;
   Transfer.Config.Version = 7;
   Transfer.Config.Routes = {{"r",
@@ -154,7 +156,7 @@
       peer_hello{},
       AttemptRequest,
       Report,
-      run_query{{3, 4}},
+      run_query{{3, 4}, {"n", 5, 7}},
       run_cancel{},
       peer_probe{5},
       peer_status{},
@@ -252,3 +254,30 @@
   CHECK(std::get<peer_hello>(Decoded) == Plain);
   CHECK_FALSE(SentAt.has_value());
 }
+
+TEST_CASE(
+    "a frame of a version that does not number attempts has no number and "
+    "proves nothing") {
+  constexpr std::size_t OriginBytes = 4 + 8 + 8;
+  const auto WithoutExtension = [](const peer_message &Message,
+                                   std::size_t ExtensionBytes) {
+    std::string Frame = encodeFrame(Message, std::chrono::microseconds(5));
+    Frame.resize(Frame.size() - ExtensionBytes);
+    Frame[3] = static_cast<char>(Frame.size() - 4);
+    std::size_t Offset = 0;
+    peer_message Decoded;
+    std::optional<std::chrono::microseconds> SentAt;
+    REQUIRE(decodeFrame(Frame, Offset, Decoded, SentAt) ==
+            frame_progress::Complete);
+    CHECK(SentAt == std::chrono::microseconds(5));
+    return Decoded;
+  };
+  attempt_request Order;
+  Order.Attempt = {1, 2};
+  CHECK(std::get<attempt_request>(WithoutExtension(Order, OriginBytes)) ==
+        Order);
+  const run_query Query{{1, 2}};
+  CHECK(std::get<run_query>(WithoutExtension(Query, OriginBytes)) == Query);
+  const run_report Report;
+  CHECK(std::get<run_report>(WithoutExtension(Report, 1)) == Report);
+}
