Gate: a run that it has forgotten is unknown, never "not run"

Cause: a gate forgets the report of an ended run after 3 s, or earlier when 2,000 reports or 8 MiB of bodies are exceeded, and answered a query about it like one about an attempt that had never come: not run. The entry offers what has not run to the next gate. The same way a refusal on such a query was forgotten, and an order that a silent link delivered later ran. Class of fault: a lack of memory taken for a proof. Change: ended_runs keeps of each entry process the lowest number from which on it remembers every attempt, and raises it with each run that it forgets. No record and a number from there on is a proof that the attempt has not come; it is refused and the report says that this is proven. Below, the outcome is Unknown, and an order that comes late does not run. How runs are forgotten in the middle does not matter: the proof does not depend on it.

--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -146,6 +146,12 @@
   if (Found == CallsByAttempt.end())
     return;
   const call_pointer Call = Found->second;
+  // The gate may have forgotten the run; see run_report::IsProven.
+  if (Report.Outcome == run_outcome::NotRun &&
+      Report.Cause == run_cause::UnknownAttempt && !Report.IsProven) {
+    Report.Outcome = run_outcome::Unknown;
+    Report.ReachedInstance = true;
+  }
   attemptEnded(Call, Report, Now);
 }
 
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -51,20 +51,20 @@
 instance_gate::instance_gate(instance_gate_settings Settings,
                              instance_registration &Registration,
                              gate_port &Port)
-    : Settings(Settings), Registration(Registration), Port(Port) {}
+    : Settings(Settings), Registration(Registration), Port(Port),
+      Ended(Settings.EndedRuns) {}
 
 instance_gate::~instance_gate() = default;
 
 void instance_gate::order(std::uint64_t Link, attempt_request AttemptRequest,
                           instant Now) {
-  evictEndedRuns(Now);
+  Ended.passTime(Now);
   const attempt_id Attempt = AttemptRequest.Attempt;
-  if (Runs.contains(Attempt))
+  if (Runs.contains(Attempt) || reportEnded(Link, Attempt, Now))
     return;
-  if (const auto Past = Ended.find(Attempt); Past != Ended.end()) {
-    Port.report(Link, Past->second.Report);
-    return;
-  }
+  if (Ended.mayBeForgotten(AttemptRequest.Origin))
+    // It may have been refused on a query, and the entry told so.
+    return Port.report(Link, unknownAttempt(Attempt, false, Now));
   const instant Deadline =
       Now + std::chrono::microseconds(AttemptRequest.TimeLeftMicroseconds);
   active_run &Run = Runs[Attempt];
@@ -142,6 +142,7 @@
   if (Found == Runs.end())
     return;
   const std::uint64_t Link = Found->second.Link;
+  const attempt_origin Origin = Found->second.AttemptRequest.Origin;
   updateDownstreamLimit(Found->second, Result, Now);
   if (Result.Outcome != run_outcome::Completed)
     log().info("run not completed",
@@ -161,32 +162,34 @@
                     Result.ReachedInstance,
                     std::move(Result.Response),
                     status(Now),
-                    0};
+                    0,
+                    Result.Outcome == run_outcome::NotRun};
   if (Link != OwnEntryLink)
-    storeEndedRun(Report, Now);
+    Ended.store(Origin, Report, Now);
   Port.report(Link, std::move(Report));
 }
 
-void instance_gate::storeEndedRun(const run_report &Report, instant Now) {
-  EndedBytes += Report.Response.Body.size();
-  Ended[Report.Attempt] = {Now, Report};
-  EndedOrder.push_back(Report.Attempt);
-  evictEndedRuns(Now);
+bool instance_gate::reportEnded(std::uint64_t Link, const attempt_id &Attempt,
+                                instant Now) {
+  std::optional<run_report> Past = Ended.find(Attempt);
+  if (!Past)
+    return false;
+  Past->Gate = status(Now);
+  Port.report(Link, std::move(*Past));
+  return true;
 }
 
-void instance_gate::evictEndedRuns(instant Now) {
-  while (!EndedOrder.empty()) {
-    const auto Oldest = Ended.find(EndedOrder.front());
-    if (Oldest != Ended.end()) {
-      const bool IsFull = EndedOrder.size() > Settings.MaxEndedRuns ||
-                          EndedBytes > Settings.MaxEndedBytes;
-      if (!IsFull && Now - Oldest->second.EndedAt < Settings.EndedRunRetention)
-        return;
-      EndedBytes -= Oldest->second.Report.Response.Body.size();
-      Ended.erase(Oldest);
-    }
-    EndedOrder.pop_front();
-  }
+run_report instance_gate::unknownAttempt(const attempt_id &Attempt,
+                                         bool IsProvenNotRun,
+                                         instant Now) const {
+  run_report Report;
+  Report.Attempt = Attempt;
+  Report.Outcome = IsProvenNotRun ? run_outcome::NotRun : run_outcome::Unknown;
+  Report.Cause = run_cause::UnknownAttempt;
+  Report.ReachedInstance = !IsProvenNotRun;
+  Report.Gate = status(Now);
+  Report.IsProven = IsProvenNotRun;
+  return Report;
 }
 
 void instance_gate::query(std::uint64_t Link, const run_query &Query,
@@ -195,18 +198,17 @@
     Found->second.Link = Link;
     return;
   }
-  if (const auto Past = Ended.find(Query.Attempt); Past != Ended.end()) {
-    Port.report(Link, Past->second.Report);
+  if (reportEnded(Link, Query.Attempt, Now))
     return;
-  }
-  run_report Report;
-  Report.Attempt = Query.Attempt;
-  Report.Outcome = run_outcome::NotRun;
-  Report.Cause = run_cause::UnknownAttempt;
-  Report.Gate = status(Now);
+  const bool IsForgotten = Ended.mayBeForgotten(Query.Origin);
+  run_report Report = unknownAttempt(
+      Query.Attempt, Query.Origin.isNumbered() && !IsForgotten, Now);
   log().info("query for an unknown attempt",
-             {{"attempt", Query.Attempt.text()}});
-  storeEndedRun(Report, Now);
+             {{"attempt", Query.Attempt.text()},
+              {"outcome", runOutcomeName(Report.Outcome)}});
+  // Its order may still be on the way, and must not run.
+  if (!IsForgotten)
+    Ended.store(Query.Origin, Report, Now);
   Port.report(Link, std::move(Report));
 }
 
--- a/modules/clementine_proxy/gate/instance_gate.h
+++ b/modules/clementine_proxy/gate/instance_gate.h
@@ -3,11 +3,12 @@
 
 #include "clementine_admission/clementine_admission.h"
 #include "clementine_proxy/gate/downstream_limiter.h"
+#include "clementine_proxy/gate/ended_runs.h"
 #include "clementine_proxy/gate/instance_registration.h"
 #include "clementine_proxy/peers/peer_messages.h"
 
-#include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -51,12 +52,7 @@
 struct instance_gate_settings {
   admission_gate_settings Admission;
   downstream_limiter_settings Downstream;
-  /// How long the report of an ended run can be queried.
-  duration EndedRunRetention = std::chrono::seconds(3);
-  /// The maximum number of ended runs that are kept, and of bytes of their
-  /// response bodies.
-  std::size_t MaxEndedRuns = 2000;
-  std::size_t MaxEndedBytes = std::size_t{8} << 20U;
+  ended_run_settings EndedRuns;
   /// How long requests are refused after a connection to the instance failed.
   duration UnreachableBackoff = std::chrono::milliseconds(300);
 };
@@ -66,7 +62,8 @@
 ///
 /// Each order ends in one report. NotRun is reported only for an attempt that
 /// was never sent to the instance, or that the instance certified as not run;
-/// such an attempt can never start afterwards. Performs no I/O.
+/// such an attempt can never start afterwards. What the gate may have forgotten
+/// is reported as Unknown and does not run. Performs no I/O.
 class instance_gate {
 public:
   instance_gate(instance_gate_settings Settings,
@@ -103,10 +100,6 @@
     bool IsRunning = false;
     bool CountsDownstream = false;
   };
-  struct ended_run {
-    instant EndedAt;
-    run_report Report;
-  };
 
   bool exceedsDownstreamLimit(active_run &Run);
   void updateDownstreamLimit(const active_run &Run,
@@ -115,8 +108,9 @@
   void start(const attempt_id &Attempt, instant Now);
   void refuse(const attempt_id &Attempt, run_cause Cause, instant Now);
   void finish(const attempt_id &Attempt, instance_result Result, instant Now);
-  void storeEndedRun(const run_report &Report, instant Now);
-  void evictEndedRuns(instant Now);
+  bool reportEnded(std::uint64_t Link, const attempt_id &Attempt, instant Now);
+  run_report unknownAttempt(const attempt_id &Attempt, bool IsProvenNotRun,
+                            instant Now) const;
 
   const instance_gate_settings Settings;
   instance_registration &Registration;
@@ -127,9 +121,7 @@
   std::string Instance;
   std::uint32_t Slots = 0;
   std::unordered_map<attempt_id, active_run, request_id_hash> Runs;
-  std::unordered_map<attempt_id, ended_run, request_id_hash> Ended;
-  std::deque<attempt_id> EndedOrder;
-  std::size_t EndedBytes = 0;
+  ended_runs Ended;
   instant UnreachableUntil;
 };
 
--- a/tests/proxy/test_gate.cpp
+++ b/tests/proxy/test_gate.cpp
@@ -144,7 +144,8 @@
   Late.Attempt = {9, 9};
   Late.Service = "svc";
   Late.TimeLeftMicroseconds = 1000000;
-  Test.Gate.query(Link, {Late.Attempt}, Test.Now);
+  Late.Origin = {"e", 1, 1};
+  Test.Gate.query(Link, {Late.Attempt, Late.Origin}, Test.Now);
   REQUIRE(Test.Port.Reports.size() == 1);
   CHECK(Test.Port.Reports[0].Outcome == run_outcome::NotRun);
   Test.Gate.order(Link, Late, Test.Now);
