--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -58,8 +58,8 @@
                  schedule();
                }),
         Directory(directorySettingsOf(Settings), Random),
-        Forwarder(forwarderSettingsOf(Settings), Adapter.headers(), Directory,
-                  *this, Random),
+        Forwarder(forwarderSettingsOf(Settings, Incarnation), Adapter.headers(),
+                  Directory, *this, Random),
         Peers(Loop, {}, Settings.PeerListen, *this),
         Decisions(Loop, Forwarder, Gate),
         Housekeeping(Loop, Metrics, "housekeeping", HousekeepingInterval,
@@ -86,7 +86,7 @@
              [this](bool IsPrompt) { Store.readRecordsPromptly(IsPrompt); }}),
         Store(Adapter, Loop, Settings.Name, Metrics, Records),
         StatusPublisher({Settings, Registration, Gate, Directory, Peers, Store},
-                        wallMilliseconds()),
+                        Incarnation),
         Root("proxy") {
     Registration.hold();
     addTasks();
@@ -346,6 +346,7 @@
   const stop_timing Stop{Settings.StopGrace};
   deployment_adapter &Adapter;
   const logger Log{"node"};
+  const std::uint64_t Incarnation = wallMilliseconds();
   seeded_random Random;
   metrics_registry Metrics;
   asio::io_context Loop{1};
