Stand-in store: can come back from a copy

kv_store::keepCopy() and restoreCopy(): keys, leases and revisions of the time since are lost and their numbers given out again, calls in progress are cut off, a watch from a revision above the current one gets 410, and the header Store-Era, now in all answers, rises by one. memory_platform_store can be copied and restored for it.

--- a/extras/stand_in_users_platform/kv_store.cpp
+++ b/extras/stand_in_users_platform/kv_store.cpp
@@ -70,8 +70,34 @@
   return Found && Found.value() ? Found.value()->Value : "";
 }
 
+void kv_store::keepCopy() {
+  const std::lock_guard Lock(CopyMutex);
+  Copy.emplace(Store.copy());
+}
+
+void kv_store::restoreCopy() {
+  const std::lock_guard Lock(CopyMutex);
+  if (!Copy)
+    throw std::logic_error("stand-in store has no copy to go back to");
+  IsRestoring = true;
+  ++Era;
+  CompactedRevision = 0;
+  Store.restore(*Copy);
+  IsRestoring = false;
+}
+
 http_answer kv_store::handle(const http_request &Request) {
   ++Calls;
+  const std::uint64_t Before = Era;
+  http_answer Answer =
+      IsRestoring ? jsonAnswer(json::object(), Unavailable) : answerTo(Request);
+  // What was done for the call may be lost.
+  Answer.IsTruncated = Answer.IsTruncated || Before != Era;
+  Answer.Headers.emplace_back("Store-Era", std::to_string(Before));
+  return Answer;
+}
+
+http_answer kv_store::answerTo(const http_request &Request) {
   bool WasSilent = false;
   while (!Stopping && Outage == outage::Silent) {
     std::this_thread::sleep_for(CheckInterval);
@@ -144,10 +170,11 @@
   const platform_revision After = std::stoll(queryOf(Request, "after"));
   const instant End = Time.now() + std::chrono::milliseconds(
                                        std::stoll(queryOf(Request, "wait_ms")));
+  const std::uint64_t Begun = Era;
   while (true) {
-    if (After < CompactedRevision)
+    if (After < CompactedRevision || After > Store.revision())
       return jsonAnswer(json::object(), Gone);
-    if (Stopping || Outage != outage::None)
+    if (Stopping || Outage != outage::None || Era != Begun)
       return jsonAnswer(json::object(), Unavailable);
     const auto Batch =
         Store.awaitEvents(queryOf(Request, "prefix"), After + 1, CheckInterval);
--- a/extras/stand_in_users_platform/kv_store.h
+++ b/extras/stand_in_users_platform/kv_store.h
@@ -6,6 +6,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 
 namespace clementine::stand_in {
@@ -42,6 +44,13 @@
   /// one get 410.
   void compactHistory() { CompactedRevision = Store.revision(); }
   void expireLeases() { Store.expireAllLeases(); }
+  /// Keeps a copy of all keys, leases and revisions for restoreCopy().
+  void keepCopy();
+  /// Goes back to the copy: later keys and leases are lost, revisions and
+  /// leases are given out again, calls in progress are cut off, and `Store-Era`
+  /// rises by one.
+  /// @throws std::logic_error if no copy was kept.
+  void restoreCopy();
 
   /// Writes a value without a condition or lease, as the operator does.
   void put(const std::string &Key, const std::string &Value);
@@ -52,6 +61,7 @@
 
 private:
   http_answer handle(const http_request &Request);
+  http_answer answerTo(const http_request &Request);
   http_answer serve(const http_request &Request);
   http_answer getKey(const http_request &Request);
   http_answer getRange(const http_request &Request);
@@ -67,6 +77,11 @@
   std::atomic<bool> EventsHidden{false};
   std::atomic<platform_revision> CompactedRevision{0};
   std::atomic<int> Calls{0};
+  /// The value of the header `Store-Era`.
+  std::atomic<std::uint64_t> Era{1};
+  std::atomic<bool> IsRestoring{false};
+  std::mutex CopyMutex;
+  std::optional<keyspace> Copy;
   memory_platform_store Store;
   std::unique_ptr<http_server> Server;
 };
--- a/modules/clementine_platform/memory/keyspace.cpp
+++ b/modules/clementine_platform/memory/keyspace.cpp
@@ -107,6 +107,11 @@
     revokeLease(Leases.begin()->first);
 }
 
+void keyspace::renewAllLeases(instant Now) {
+  for (auto &[Lease, State] : Leases)
+    State.End = Now + State.TimeToLive;
+}
+
 std::optional<platform_watch_batch>
 keyspace::eventsSince(const std::string &Prefix,
                       platform_revision FromRevision) const {
--- a/modules/clementine_platform/memory/keyspace.h
+++ b/modules/clementine_platform/memory/keyspace.h
@@ -53,6 +53,10 @@
   /// Revokes every lease immediately.
   void expireAllLeases();
 
+  /// Renews every lease, as a store does that was restored from a copy: it does
+  /// not know which ones were renewed since.
+  void renewAllLeases(instant Now);
+
   /// @returns the events under @p Prefix from @p FromRevision on, or nothing
   /// if some of them have been compacted.
   std::optional<platform_watch_batch>
@@ -78,7 +82,7 @@
   void detachFromLease(const platform_entry &Entry);
   void record(platform_event Event);
 
-  const std::size_t HistoryLimit;
+  std::size_t HistoryLimit;
   std::map<std::string, platform_entry> Entries;
   std::map<lease_id, lease_state> Leases;
   std::deque<platform_event> History;
--- a/modules/clementine_platform/memory/memory_platform_store.cpp
+++ b/modules/clementine_platform/memory/memory_platform_store.cpp
@@ -96,6 +96,18 @@
   Changed.notify_all();
 }
 
+keyspace memory_platform_store::copy() {
+  const std::lock_guard Lock(Mutex);
+  return Keys;
+}
+
+void memory_platform_store::restore(const keyspace &Copy) {
+  const std::lock_guard Lock(Mutex);
+  Keys = Copy;
+  Keys.renewAllLeases(Time.now());
+  Changed.notify_all();
+}
+
 platform_revision memory_platform_store::revision() {
   const std::lock_guard Lock(Mutex);
   return Keys.revision();
--- a/modules/clementine_platform/memory/memory_platform_store.h
+++ b/modules/clementine_platform/memory/memory_platform_store.h
@@ -37,6 +37,13 @@
   /// Revokes every lease immediately, as if all holders had been paused.
   void expireAllLeases();
 
+  /// @returns a copy of all keys, leases and revisions.
+  keyspace copy();
+
+  /// Goes back to @p Copy: later keys, leases and revisions are lost. The
+  /// leases of the copy are renewed.
+  void restore(const keyspace &Copy);
+
   /// @returns the revision of the last change.
   platform_revision revision();
 
--- a/tests/users_platform/test_store.cpp
+++ b/tests/users_platform/test_store.cpp
@@ -86,6 +86,37 @@
   CHECK(Test.Store.get("k"));
 }
 
+TEST_CASE("a stand-in store restored from a copy has lost keys and leases, and "
+          "gives their numbers out again") {
+  fixture Test;
+  http_channel Channel("http://" + Test.Address.text(), shortLimits());
+  const auto Kept = Test.Store.grantLease(2s).value();
+  REQUIRE(Test.Store.commit(Test.conditionalPut("kept", "1", 0, Kept.Id)));
+  Test.Server.keepCopy();
+  const auto Lost = Test.Store.grantLease(2s).value();
+  const auto Written =
+      Test.Store.commit(Test.conditionalPut("lost", "1", 0, Lost.Id)).value();
+  const auto WatchAfter = [&](platform_revision Revision) {
+    return Channel
+        .get("/clementinecove/kv-watch?prefix=lost&wait_ms=200&after=" +
+             std::to_string(Revision))
+        .value()
+        .Status;
+  };
+  CHECK(WatchAfter(Written.Revision) == 200);
+  Test.Server.restoreCopy();
+  CHECK(Test.Server.valueOf("lost").empty());
+  CHECK(Test.Server.valueOf("kept") == "1");
+  CHECK(Test.Store.renewLease(Kept.Id));
+  CHECK(Test.Store.renewLease(Lost.Id).has_error());
+  CHECK(WatchAfter(Written.Revision) == 410);
+  CHECK(Test.Store.grantLease(2s).value().Id == Lost.Id);
+  CHECK(Test.Store.commit(Test.conditionalPut("other", "1", 0))
+            .value()
+            .Revision == Written.Revision);
+  CHECK(WatchAfter(Written.Revision) == 200);
+}
+
 TEST_CASE(
     "renewing an expired lease reports LeaseNotFound; revoking it succeeds") {
   fixture Test;
