Store interface: answers say which history of the store they belong to

store_era (the header Store-Era, empty for a store without one) is carried by each range, commit, lease and batch rather than read from a getter: the followers and the keeper of the record run on threads of their own, and a value read beside an answer may belong to another answer. store_position orders by history, then revision. A listing whose pages are of two histories is an error, so that it is made again.

platform/ translates the header only. The records' followers pass the position on; nothing decides by it yet. test_users_platform: the listing of two histories and the rise of the era by one.

--- a/modules/clementine_platform/etcd/http_channel.cpp
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -46,9 +46,10 @@
 /// One libcurl handle with its connection.
 class http_channel::handle {
 public:
-  handle(const limits &Limits, const std::atomic<bool> &Interrupted)
-      : Limits(Limits), Interrupted(Interrupted), Easy(curl_easy_init()),
-        Multi(curl_multi_init()) {
+  handle(const limits &Limits, const std::string &WantedHeader,
+         const std::atomic<bool> &Interrupted)
+      : Limits(Limits), WantedHeader(WantedHeader), Interrupted(Interrupted),
+        Easy(curl_easy_init()), Multi(curl_multi_init()) {
     assert(Easy != nullptr && Multi != nullptr && "libcurl is out of memory");
     Headers = curl_slist_append(nullptr, "Content-Type: application/json");
     // Without this, libcurl waits for "100 Continue" before a large body.
@@ -127,7 +128,17 @@
     const CURLcode Code = curl_easy_perform(Easy);
     if (Code != CURLE_OK)
       return failureOf(Code);
-    return answer{status(), std::move(Received)};
+    return answer{status(), std::move(Received), wantedHeader()};
+  }
+
+  std::string wantedHeader() const {
+    curl_header *Found = nullptr;
+    constexpr int LastRequest = -1;
+    if (WantedHeader.empty() ||
+        curl_easy_header(Easy, WantedHeader.c_str(), 0, CURLH_HEADER,
+                         LastRequest, &Found) != CURLHE_OK)
+      return {};
+    return Found->value;
   }
 
   static int shouldAbort(void *User, curl_off_t /*DownloadTotal*/,
@@ -301,6 +312,7 @@
   }
 
   const limits &Limits;
+  const std::string &WantedHeader;
   const std::atomic<bool> &Interrupted;
   const std::atomic<bool> *Stopping = nullptr;
   CURL *const Easy;
@@ -315,8 +327,10 @@
   bool StoppedByListener = false;
 };
 
-http_channel::http_channel(std::string BaseUrl, limits Limits)
-    : BaseUrl(std::move(BaseUrl)), Limits(Limits) {
+http_channel::http_channel(std::string BaseUrl, limits Limits,
+                           std::string WantedHeader)
+    : BaseUrl(std::move(BaseUrl)), Limits(Limits),
+      WantedHeader(std::move(WantedHeader)) {
   initializeLibrary();
 }
 
@@ -361,14 +375,14 @@
                      const line_listener &Listener,
                      const std::atomic<bool> &Stopping) {
   // The connection is closed with the stream, so the handle is not reused.
-  handle Handle(Limits, Interrupted);
+  handle Handle(Limits, WantedHeader, Interrupted);
   return Handle.stream(BaseUrl + Path, Body, Listener, Stopping);
 }
 
 std::unique_ptr<http_channel::handle> http_channel::acquireHandle() {
   const std::lock_guard Lock(Mutex);
   if (Idle.empty())
-    return std::make_unique<handle>(Limits, Interrupted);
+    return std::make_unique<handle>(Limits, WantedHeader, Interrupted);
   auto Handle = std::move(Idle.back());
   Idle.pop_back();
   return Handle;
--- a/modules/clementine_platform/etcd/http_channel.h
+++ b/modules/clementine_platform/etcd/http_channel.h
@@ -43,13 +43,17 @@
   struct answer {
     long Status = 0;
     std::string Body;
+    /// The value of the wanted header, empty if the response has none.
+    std::string Header;
   };
 
   /// Receives a line of a stream; returning false ends the stream.
   using line_listener = std::function<bool(std::string_view Line)>;
 
   /// @param BaseUrl such as `http://127.0.0.1:2379`.
-  http_channel(std::string BaseUrl, limits Limits);
+  /// @param WantedHeader the header to be read from responses; may be empty.
+  http_channel(std::string BaseUrl, limits Limits,
+               std::string WantedHeader = {});
   ~http_channel();
 
   http_channel(const http_channel &) = delete;
@@ -89,6 +93,7 @@
 
   const std::string BaseUrl;
   const limits Limits;
+  const std::string WantedHeader;
   std::atomic<bool> Interrupted{false};
   std::mutex Mutex;
   std::vector<std::unique_ptr<handle>> Idle;
--- a/modules/clementine_platform/store/platform_store.h
+++ b/modules/clementine_platform/store/platform_store.h
@@ -32,6 +32,8 @@
   get(const std::string &Key) = 0;
 
   /// Reads all keys that begin with @p Prefix, which must not be empty.
+  /// @returns the keys; platform_cause::Compacted if the store was restored
+  /// from a copy meanwhile.
   virtual result<platform_range, platform_error>
   list(const std::string &Prefix) = 0;
 
@@ -57,7 +59,9 @@
   /// @p Listener, in order, until @p Stopping becomes true or the watch fails.
   ///
   /// A caller that resumes after an error starts one above the last revision
-  /// that it received.
+  /// that it received. A store that was restored from a copy may have reached
+  /// @p FromRevision again: the listener has to compare the era of each batch
+  /// with that of the listing.
   ///
   /// @param FromRevision the first revision to report; 0 for the next one.
   /// @returns success after a stop; platform_cause::Compacted if changes are
--- a/modules/clementine_platform/store/platform_types.h
+++ b/modules/clementine_platform/store/platform_types.h
@@ -2,7 +2,9 @@
 #define CLEMENTINE_PLATFORM_STORE_PLATFORM_TYPES_H
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +17,25 @@
 /// Identifies a lease; 0 means none.
 using lease_id = std::int64_t;
 
+/// Identifies the history that the revisions and leases of an answer belong to;
+/// empty if the store does not say. It rises when the store has been restored
+/// from an older copy: later keys and leases are lost, and their revisions and
+/// ids are given out again.
+using store_era = std::optional<std::uint64_t>;
+
+/// @returns whether two answers are known to be of different histories.
+inline bool isOtherHistory(store_era First, store_era Second) {
+  return First && Second && *First != *Second;
+}
+
+/// A point in the changes of the store; a later history is greater.
+struct store_position {
+  store_era Era;
+  platform_revision Revision = 0;
+
+  auto operator<=>(const store_position &) const = default;
+};
+
 /// A stored key with its value and history.
 struct platform_entry {
   std::string Key;
@@ -36,6 +57,7 @@
 struct platform_range {
   platform_revision Revision = 0;
   std::vector<platform_entry> Entries;
+  store_era Era;
 
   bool operator==(const platform_range &) const = default;
 };
@@ -85,6 +107,7 @@
   platform_revision Revision = 0;
   /// The entries read after a failed compare; missing keys are left out.
   std::vector<platform_entry> Entries;
+  store_era Era;
 
   bool operator==(const platform_commit &) const = default;
 };
@@ -94,6 +117,7 @@
   lease_id Id = 0;
   /// The platform removes the lease's keys this long after the last renewal.
   std::chrono::seconds TimeToLive{0};
+  store_era Era;
 
   bool operator==(const platform_lease &) const = default;
 };
@@ -114,6 +138,7 @@
 struct platform_watch_batch {
   platform_revision Revision = 0;
   std::vector<platform_event> Events;
+  store_era Era;
 
   bool operator==(const platform_watch_batch &) const = default;
 };
--- a/modules/clementine_proxy/node/record_exchange.cpp
+++ b/modules/clementine_proxy/node/record_exchange.cpp
@@ -15,9 +15,9 @@
 }
 
 void record_exchange::recordsListed(const std::vector<node_record> &Records,
-                                    platform_revision Revision) {
+                                    const store_position &Position) {
   Dependencies.Directory.replaceAll(Records, boot_clock().now());
-  noteRevision(Revision);
+  notePosition(Position);
   const auto Own =
       std::ranges::find(Records, Dependencies.OwnNode, &node_record::Node);
   Dependencies.Reports.startAccepting(Own == Records.end() ? std::nullopt
@@ -25,22 +25,23 @@
 }
 
 void record_exchange::recordChanged(const node_record &Record,
-                                    platform_revision Revision) {
+                                    const store_position &Position) {
   Dependencies.Directory.record(Record);
   if (IsRelay)
-    Dependencies.Peers.broadcast({Record, Revision}, Dependencies.OwnZone);
-  noteRevision(Revision);
+    Dependencies.Peers.broadcast({Record, Position.Revision},
+                                 Dependencies.OwnZone);
+  notePosition(Position);
 }
 
 void record_exchange::recordRemoved(const std::string &Node,
-                                    platform_revision Revision) {
+                                    const store_position &Position) {
   Dependencies.Directory.markRecordRemoved(Node, boot_clock().now());
-  noteRevision(Revision);
+  notePosition(Position);
 }
 
 void record_exchange::relayed(const record_update &Update) {
   Dependencies.Directory.relayedRecord(Update.Record,
-                                       Update.Revision > LastRevision);
+                                       Update.Revision > LastRead.Revision);
 }
 
 void record_exchange::departureRemembered(const peer_hello &Hello) {
@@ -66,8 +67,8 @@
                      : "no longer passes records on");
 }
 
-void record_exchange::noteRevision(platform_revision Revision) {
-  LastRevision = std::max(LastRevision, Revision);
+void record_exchange::notePosition(const store_position &Position) {
+  LastRead.Revision = std::max(LastRead.Revision, Position.Revision);
 }
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/record_exchange.h
+++ b/modules/clementine_proxy/node/record_exchange.h
@@ -42,11 +42,11 @@
   void configRead(const std::shared_ptr<const routing_config> &Config,
                   platform_revision Revision) override;
   void recordsListed(const std::vector<node_record> &Records,
-                     platform_revision Revision) override;
+                     const store_position &Position) override;
   void recordChanged(const node_record &Record,
-                     platform_revision Revision) override;
+                     const store_position &Position) override;
   void recordRemoved(const std::string &Node,
-                     platform_revision Revision) override;
+                     const store_position &Position) override;
 
   /// @name Messages of other nodes
   void relayed(const record_update &Update);
@@ -62,11 +62,11 @@
   void updateRelayRole();
 
 private:
-  void noteRevision(platform_revision Revision);
+  void notePosition(const store_position &Position);
 
   const dependencies Dependencies;
-  /// The highest revision of a record that this node has read itself.
-  platform_revision LastRevision = 0;
+  /// The last position of a record that this node has read itself.
+  store_position LastRead;
   bool IsRelay = true;
   const logger Log{"node"};
 };
--- a/modules/clementine_proxy/node/store_synchronizer.cpp
+++ b/modules/clementine_proxy/node/store_synchronizer.cpp
@@ -66,11 +66,11 @@
 }
 
 prefix_watcher::listener store_synchronizer::configListener() {
-  return {[this](const std::vector<platform_entry> &Entries) {
-            for (const platform_entry &Entry : Entries)
+  return {[this](const platform_range &Range) {
+            for (const platform_entry &Entry : Range.Entries)
               readConfig(Entry);
           },
-          [this](const platform_event &Event) {
+          [this](const platform_event &Event, store_era) {
             if (Event.Kind == platform_event::kind::Put)
               readConfig(Event.Entry);
           },
@@ -97,19 +97,22 @@
 }
 
 prefix_watcher::listener store_synchronizer::recordListener() {
-  return {[this](const std::vector<platform_entry> &Entries) {
+  return {[this](const platform_range &Range) {
             std::vector<node_record> Found;
-            for (const platform_entry &Entry : Entries)
+            for (const platform_entry &Entry : Range.Entries)
               if (auto Record = decodeRecord(Entry))
                 Found.push_back(std::move(*Record));
-            platform_revision Revision = 0;
-            for (const platform_entry &Entry : Entries)
-              Revision = std::max(Revision, Entry.ModRevision);
-            asio::post(Loop, [this, Found, Revision] {
-              Listener.recordsListed(Found, Revision);
+            store_position Position{Range.Era, 0};
+            for (const platform_entry &Entry : Range.Entries)
+              Position.Revision =
+                  std::max(Position.Revision, Entry.ModRevision);
+            asio::post(Loop, [this, Found, Position] {
+              Listener.recordsListed(Found, Position);
             });
           },
-          [this](const platform_event &Event) { recordChanged(Event); },
+          [this](const platform_event &Event, store_era Era) {
+            recordChanged(Event, Era);
+          },
           [](bool) {}};
 }
 
@@ -126,25 +129,27 @@
   return Record;
 }
 
-void store_synchronizer::recordChanged(const platform_event &Event) {
+void store_synchronizer::recordChanged(const platform_event &Event,
+                                       store_era Era) {
+  const store_position Position{Era, Event.Entry.ModRevision};
   if (Event.Kind == platform_event::kind::Delete) {
     const std::string Node = Event.Entry.Key.substr(
         std::min(RecordPrefix.size(), Event.Entry.Key.size()));
-    asio::post(Loop, [this, Node, Revision = Event.Entry.ModRevision] {
-      Log.info("record vanished", {{"node", Node}, {"revision", Revision}});
-      Listener.recordRemoved(Node, Revision);
+    asio::post(Loop, [this, Node, Position] {
+      Log.info("record vanished",
+               {{"node", Node}, {"revision", Position.Revision}});
+      Listener.recordRemoved(Node, Position);
     });
     return;
   }
   if (auto Record = decodeRecord(Event.Entry))
-    asio::post(Loop, [this, Record = std::move(*Record),
-                      Revision = Event.Entry.ModRevision] {
+    asio::post(Loop, [this, Record = std::move(*Record), Position] {
       Log.info("record changed", {{"node", Record.Node},
                                   {"incarnation", Record.Incarnation},
                                   {"service", Record.Service},
                                   {"instance", Record.Instance},
-                                  {"revision", Revision}});
-      Listener.recordChanged(Record, Revision);
+                                  {"revision", Position.Revision}});
+      Listener.recordChanged(Record, Position);
     });
 }
 
--- a/modules/clementine_proxy/node/store_synchronizer.h
+++ b/modules/clementine_proxy/node/store_synchronizer.h
@@ -23,14 +23,14 @@
   virtual void configRead(const std::shared_ptr<const routing_config> &Config,
                           platform_revision Revision) = 0;
   /// @param Records all records; those not among them no longer exist.
-  /// @param Revision the store's revision as of which they are complete.
+  /// @param Position the point as of which they are complete.
   virtual void recordsListed(const std::vector<node_record> &Records,
-                             platform_revision Revision) = 0;
-  /// @param Revision the store's revision of the change.
+                             const store_position &Position) = 0;
+  /// @param Position the point of the change.
   virtual void recordChanged(const node_record &Record,
-                             platform_revision Revision) = 0;
+                             const store_position &Position) = 0;
   virtual void recordRemoved(const std::string &Node,
-                             platform_revision Revision) = 0;
+                             const store_position &Position) = 0;
 };
 
 /// Reads the configuration and the records of all nodes from the store, and
@@ -66,7 +66,7 @@
   prefix_watcher::listener recordListener();
   void readConfig(const platform_entry &Entry);
   std::optional<node_record> decodeRecord(const platform_entry &Entry) const;
-  void recordChanged(const platform_event &Event);
+  void recordChanged(const platform_event &Event, store_era Era);
 
   deployment_adapter &Adapter;
   boost::asio::io_context &Loop;
--- a/modules/clementine_proxy/node/store_tasks.cpp
+++ b/modules/clementine_proxy/node/store_tasks.cpp
@@ -76,7 +76,7 @@
   }
   setConnected(true, nullptr);
   Failures = 0;
-  Listener.Listed(Listed.value().Entries);
+  Listener.Listed(Listed.value());
   const bool IsFirst = !std::exchange(HasListed, true);
   if (IsFirst && !Listed.value().Entries.empty())
     Sleep.sleep(Settings.FirstWatchDelay, Stopping);
@@ -84,7 +84,7 @@
       Prefix, Listed.value().Revision + 1,
       [this, &Stopping](const platform_watch_batch &Batch) {
         for (const platform_event &Event : Batch.Events)
-          Listener.Changed(Event);
+          Listener.Changed(Event, Batch.Era);
         if (Batch.Events.empty())
           return;
         const duration Wait = delayAfterBatch();
--- a/modules/clementine_proxy/node/store_tasks.h
+++ b/modules/clementine_proxy/node/store_tasks.h
@@ -58,8 +58,8 @@
 public:
   /// Callbacks, called on the task's thread.
   struct listener {
-    std::function<void(const std::vector<platform_entry> &)> Listed;
-    std::function<void(const platform_event &)> Changed;
+    std::function<void(const platform_range &)> Listed;
+    std::function<void(const platform_event &, store_era)> Changed;
     /// @param IsConnected whether the store can be watched.
     std::function<void(bool IsConnected)> Connection;
   };
--- a/tests/users_platform/test_store.cpp
+++ b/tests/users_platform/test_store.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <set>
 #include <thread>
 
 using namespace clementine;
@@ -104,7 +106,9 @@
         .Status;
   };
   CHECK(WatchAfter(Written.Revision) == 200);
+  REQUIRE(Written.Era);
   Test.Server.restoreCopy();
+  CHECK(Test.Store.list("kept").value().Era == *Written.Era + 1);
   CHECK(Test.Server.valueOf("lost").empty());
   CHECK(Test.Server.valueOf("kept") == "1");
   CHECK(Test.Store.renewLease(Kept.Id));
@@ -139,18 +143,18 @@
   fixture Test;
   std::mutex Mutex;
   std::map<std::string, std::string> Seen;
-  proxy::prefix_watcher Watcher(
-      "test", Test.Store, "f/", {},
-      {[&](const std::vector<platform_entry> &Entries) {
-         const std::lock_guard Lock(Mutex);
-         for (const platform_entry &Entry : Entries)
-           Seen[Entry.Key] = Entry.Value;
-       },
-       [&](const platform_event &Event) {
-         const std::lock_guard Lock(Mutex);
-         Seen[Event.Entry.Key] = Event.Entry.Value;
-       },
-       [](bool) {}});
+  proxy::prefix_watcher Watcher("test", Test.Store, "f/", {},
+                                {[&](const platform_range &Range) {
+                                   const std::lock_guard Lock(Mutex);
+                                   for (const platform_entry &Entry :
+                                        Range.Entries)
+                                     Seen[Entry.Key] = Entry.Value;
+                                 },
+                                 [&](const platform_event &Event, store_era) {
+                                   const std::lock_guard Lock(Mutex);
+                                   Seen[Event.Entry.Key] = Event.Entry.Value;
+                                 },
+                                 [](bool) {}});
   const auto WaitForKey = [&](const std::string &Key) {
     for (int Step = 0; Step < 1000; ++Step) {
       {
@@ -247,3 +251,23 @@
   CHECK(CallsToWrite({"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5}) == 2);
   CHECK(CallsToWrite({"n", 2, "z", {"127.0.0.1", 1}, "s", "i", 5}) == 3);
 }
+
+TEST_CASE("a listing whose pages are of two histories of the store is no "
+          "listing") {
+  const endpoint Address = findFreeEndpoint();
+  std::atomic<int> Pages{0};
+  stand_in::http_server Server(
+      Address, {}, [&](const stand_in::http_request &) {
+        const int Page = ++Pages;
+        stand_in::http_answer Answer;
+        Answer.Headers = {{"Store-Era", std::to_string(Page)}};
+        Answer.Body =
+            R"({"items":[{"key":"a/1","revision":3}],"at":4,"has_more":)" +
+            std::string(Page == 1 ? "true}" : "false}");
+        return Answer;
+      });
+  users::kv_platform_store Store("http://" + Address.text(), shortLimits());
+  const auto Listed = Store.list("a/");
+  REQUIRE(Listed.has_error());
+  CHECK(Listed.error().Cause == platform_cause::Compacted);
+}
