Record: written again when the store lost it with a restored copy

Others saw: after the store came back from an older copy, the record of a node named the instance that it had before and lacked the departure that was confirmed since; it stayed so until the record changed next.

Cause: record_publisher noticed a loss only by a lease that is not found. A lease that is in the copy can be renewed, and one granted later may have been given out again to another node, so it took its last write for stored. Class: numbers of an external system used as identities beyond the history they belong to.

Change: the publisher keeps the history that its lease and revision belong to. An answer of another one voids both: it takes a new lease, reads the key's revision and writes the record again. A write whose revision is unknown is made even if the record did not change since.

--- a/modules/clementine_proxy/node/store_tasks.cpp
+++ b/modules/clementine_proxy/node/store_tasks.cpp
@@ -22,6 +22,14 @@
           (1U << std::min(Failures > 0 ? Failures - 1 : 0U, MaxDoublings)));
 }
 
+void logRestored(const std::string &Duty, std::uint64_t Before,
+                 std::uint64_t Now, std::string_view Reaction) {
+  log().warning("store restored from an older copy", {{"duty", Duty},
+                                                      {"before", Before},
+                                                      {"era", Now},
+                                                      {"reaction", Reaction}});
+}
+
 } // namespace
 
 void interruptible_sleep::sleep(duration Span,
@@ -140,8 +148,10 @@
 void record_publisher::run(const std::atomic<bool> &Stopping) {
   while (!Stopping) {
     const bool IsDone = synchronize();
-    if (IsDone && Failures > 0) {
+    if (IsDone && Failures > 0)
       log().info("store answers again", {{"failures", Failures}});
+    if (IsDone && (Failures > 0 || WasRestored)) {
+      WasRestored = false;
       Recovered();
     }
     Failures = IsDone ? 0 : Failures + 1;
@@ -157,7 +167,8 @@
     return Written ? write(Target) : isStoreReachable();
   if (!ensureLease())
     return false;
-  return Written == Target || write(Target);
+  // Without a revision it is not known what the store holds.
+  return (Written == Target && Revision) || write(Target);
 }
 
 bool record_publisher::isStoreReachable() {
@@ -176,36 +187,65 @@
 }
 
 bool record_publisher::ensureLease() {
+  const bool IsDue =
+      RenewsNow.exchange(false) ||
+      monotonic_clock().now() - RenewedAt >= Settings.RenewInterval / 2;
+  if (Lease != 0 && IsDue && !renewLease())
+    return false;
+  return Lease != 0 || grantLease();
+}
+
+/// @returns whether the store answered; Lease is 0 if the lease is lost.
+bool record_publisher::renewLease() {
   const instant Now = monotonic_clock().now();
-  if (Lease != 0) {
-    if (Now - RenewedAt < Settings.RenewInterval / 2)
-      return true;
-    const auto Kept = Store.renewLease(Lease);
-    if (Kept) {
-      RenewedAt = Now;
-      ReachedAt = Now;
-      return true;
-    }
-    if (Kept.error().Cause != platform_cause::LeaseNotFound) {
-      logFailure("renewal", Kept.error());
-      return false;
-    }
-    log().warning("lease expired", {{"lease", Lease}});
-    // The record was removed together with its lease.
-    Lease = 0;
-    Written.reset();
-    Revision = 0;
+  const auto Kept = Store.renewLease(Lease);
+  if (Kept) {
+    RenewedAt = Now;
+    ReachedAt = Now;
+    noteEra(Kept.value().Era);
+    return true;
   }
+  if (Kept.error().Cause != platform_cause::LeaseNotFound) {
+    logFailure("renewal", Kept.error());
+    return false;
+  }
+  log().warning("lease expired", {{"lease", Lease}});
+  // The record was removed together with its lease.
+  Lease = 0;
+  Written.reset();
+  Revision = 0;
+  return true;
+}
+
+bool record_publisher::grantLease() {
+  const instant Now = monotonic_clock().now();
   const auto Granted = Store.grantLease(Settings.LeaseDuration);
   if (!Granted) {
     logFailure("lease", Granted.error());
     return false;
   }
+  noteEra(Granted.value().Era);
   Lease = Granted.value().Id;
   RenewedAt = Now;
   return true;
 }
 
+/// Gives up the lease and the revision if they are of another history: their
+/// numbers may have been given out again.
+/// @returns whether they are still valid.
+bool record_publisher::noteEra(store_era Found) {
+  const bool IsSame = !isOtherHistory(Era, Found);
+  if (!IsSame) {
+    logRestored("record", *Era, *Found, "writes the record again");
+    Lease = 0;
+    Revision.reset();
+    WasRestored = true;
+  }
+  if (Found)
+    Era = Found;
+  return IsSame;
+}
+
 bool record_publisher::readRevision() {
   const auto Present = Store.get(Key);
   if (!Present) {
@@ -247,7 +287,7 @@
     Revision = Found.empty() ? 0 : Found.front().ModRevision;
     Committed = commit(Target);
   }
-  if (!Committed)
+  if (!Committed || !noteEra(Committed->Era))
     return false;
   if (!Committed->Succeeded) {
     Revision.reset();
--- a/modules/clementine_proxy/node/store_tasks.h
+++ b/modules/clementine_proxy/node/store_tasks.h
@@ -52,8 +52,8 @@
 };
 
 /// Watches every key under a prefix: reads all entries first, then each change.
-/// After a failure, or when the store has compacted its history, it reads all
-/// entries again.
+/// After a failure, or when the store has compacted its history or was restored
+/// from an older copy, it reads all entries again.
 class prefix_watcher {
 public:
   /// Callbacks, called on the task's thread.
@@ -103,11 +103,13 @@
 
 /// Publishes this node's record in the store under a lease. Each write is
 /// conditional on the key's revision, so that a write which the store carries
-/// out late cannot overwrite a newer one.
+/// out late cannot overwrite a newer one. When the store was restored from an
+/// older copy, the lease and the revision are void, and the record is written
+/// again.
 class record_publisher {
 public:
   /// @param Recovered called on the task's thread when a call succeeds after
-  /// one that failed.
+  /// one that failed, or after the store was restored.
   record_publisher(platform_store &Store, std::string Key,
                    store_task_settings Settings,
                    std::function<void()> Recovered);
@@ -121,11 +123,20 @@
   /// Runs until stopped; the body of the task.
   void run(const std::atomic<bool> &Stopping);
   void wake() { Sleep.wake(); }
+  /// Renews the lease at once, so that the answer shows whether the store was
+  /// restored. Thread-safe.
+  void renewNow() {
+    RenewsNow = true;
+    Sleep.wake();
+  }
 
 private:
   bool synchronize();
   bool isStoreReachable();
   bool ensureLease();
+  bool renewLease();
+  bool grantLease();
+  bool noteEra(store_era Found);
   bool write(const std::optional<node_record> &Desired);
   bool readRevision();
   std::optional<platform_commit>
@@ -144,6 +155,10 @@
   /// The revision of the key; empty while it has to be read. A new process
   /// assumes that there is none; the store says if that is wrong.
   std::optional<platform_revision> Revision = 0;
+  /// The history of the store that Lease and Revision belong to.
+  store_era Era;
+  bool WasRestored = false;
+  std::atomic<bool> RenewsNow{false};
   lease_id Lease = 0;
   instant RenewedAt;
   /// When the store last answered a call.
--- a/tests/users_platform/test_store.cpp
+++ b/tests/users_platform/test_store.cpp
@@ -22,6 +22,34 @@
   return Limits;
 }
 
+/// Polls @p Condition for at most 10 seconds.
+bool becomesTrue(const std::function<bool()> &Condition) {
+  constexpr int MostSteps = 1000;
+  for (int Step = 0; Step < MostSteps && !Condition(); ++Step)
+    std::this_thread::sleep_for(10ms);
+  return Condition();
+}
+
+/// Runs a publisher or a watcher on a thread of its own.
+template <class Task> class running_task {
+public:
+  explicit running_task(Task &Running)
+      : Running(Running), Thread([this] { this->Running.run(Stopping); }) {}
+  ~running_task() {
+    Stopping = true;
+    Running.wake();
+    Thread.join();
+  }
+
+  running_task(const running_task &) = delete;
+  running_task &operator=(const running_task &) = delete;
+
+private:
+  Task &Running;
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
 struct fixture {
   platform_transaction conditionalPut(const std::string &Key,
                                       const std::string &Value,
@@ -252,6 +280,51 @@
   CHECK(CallsToWrite({"n", 2, "z", {"127.0.0.1", 1}, "s", "i", 5}) == 3);
 }
 
+TEST_CASE("a record is written again if the store lost its last write with a "
+          "restored copy, though its lease can be renewed") {
+  fixture Test;
+  proxy::store_task_settings Settings;
+  Settings.RenewInterval = 50ms;
+  proxy::record_publisher Publisher(Test.Store, "r/n", Settings, [] {});
+  const proxy::node_record Before{"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5};
+  proxy::node_record After = Before;
+  After.Instance.clear();
+  After.Departed = proxy::instance_run{"i", 1};
+  Publisher.publish(Before);
+  const running_task Running(Publisher);
+  const auto IsStored = [&](const proxy::node_record &Record) {
+    return Test.Server.valueOf("r/n") == Record.encoded();
+  };
+  REQUIRE(becomesTrue([&] { return IsStored(Before); }));
+  Test.Server.keepCopy();
+  Publisher.publish(After);
+  REQUIRE(becomesTrue([&] { return IsStored(After); }));
+  Test.Server.restoreCopy();
+  REQUIRE(IsStored(Before));
+  CHECK(becomesTrue([&] { return IsStored(After); }));
+}
+
+TEST_CASE("a record is written again if a restored store has given its lease "
+          "to another node") {
+  fixture Test;
+  proxy::store_task_settings Settings;
+  Settings.RenewInterval = 1000ms;
+  proxy::record_publisher Publisher(Test.Store, "r/n", Settings, [] {});
+  const proxy::node_record Record{"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5};
+  Test.Server.keepCopy();
+  Publisher.publish(Record);
+  const running_task Running(Publisher);
+  const auto IsStored = [&] {
+    return Test.Server.valueOf("r/n") == Record.encoded();
+  };
+  REQUIRE(becomesTrue(IsStored));
+  const lease_id Lost = Test.Store.get("r/n").value()->Lease;
+  Test.Server.restoreCopy();
+  REQUIRE(Test.Store.grantLease(30s).value().Id == Lost);
+  REQUIRE(becomesTrue(IsStored));
+  CHECK(Test.Store.get("r/n").value()->Lease != Lost);
+}
+
 TEST_CASE("a listing whose pages are of two histories of the store is no "
           "listing") {
   const endpoint Address = findFreeEndpoint();
