Watch: lists again when the store was restored from an older copy

Cause: a watch from a revision that the restored store has passed again gets no 410, and the changes up to there were missed until the next listing.

Change: prefix_watcher compares the history of each batch with that of its listing, drops a batch of another one and lists again; it then reads changes promptly for 3 s, as the nodes write their records again. It also makes the record's keeper renew its lease at once, which shows that one the new history. One line is logged for each follower and keeper, with both numbers.

Evidence: the new test of test_store failed before with one assertion (f/3 was never seen).

--- a/modules/clementine_proxy/node/store_synchronizer.cpp
+++ b/modules/clementine_proxy/node/store_synchronizer.cpp
@@ -74,7 +74,8 @@
             if (Event.Kind == platform_event::kind::Put)
               readConfig(Event.Entry);
           },
-          [this](bool IsConnected) { Connected.set(IsConnected ? 1 : 0); }};
+          [this](bool IsConnected) { Connected.set(IsConnected ? 1 : 0); },
+          [this] { Publisher.renewNow(); }};
 }
 
 /// Runs on the watcher's thread, so that decoding a large configuration does
@@ -113,7 +114,7 @@
           [this](const platform_event &Event, store_era Era) {
             recordChanged(Event, Era);
           },
-          [](bool) {}};
+          [](bool) {}, [this] { Publisher.renewNow(); }};
 }
 
 std::optional<node_record>
--- a/modules/clementine_proxy/node/store_tasks.cpp
+++ b/modules/clementine_proxy/node/store_tasks.cpp
@@ -84,6 +84,7 @@
   }
   setConnected(true, nullptr);
   Failures = 0;
+  noteEra(Listed.value().Era);
   Listener.Listed(Listed.value());
   const bool IsFirst = !std::exchange(HasListed, true);
   if (IsFirst && !Listed.value().Entries.empty())
@@ -91,6 +92,11 @@
   const auto Ended = Store.watch(
       Prefix, Listed.value().Revision + 1,
       [this, &Stopping](const platform_watch_batch &Batch) {
+        if (isOtherHistory(Era, Batch.Era)) {
+          // Changes may be missing before these.
+          CancelsWatch = true;
+          return;
+        }
         for (const platform_event &Event : Batch.Events)
           Listener.Changed(Event, Batch.Era);
         if (Batch.Events.empty())
@@ -108,8 +114,21 @@
   return true;
 }
 
+void prefix_watcher::noteEra(store_era Found) {
+  if (isOtherHistory(Era, Found)) {
+    logRestored(Name, *Era, *Found, "has read all entries again");
+    PromptUntil = monotonic_clock().now() + Settings.PromptAfterRestore;
+    if (Listener.Restored)
+      Listener.Restored();
+  }
+  if (Found)
+    Era = Found;
+}
+
 duration prefix_watcher::delayAfterBatch() {
   const instant Now = monotonic_clock().now();
+  if (Now < PromptUntil)
+    return Settings.BatchBackoff.InitialDelay;
   return ReadsPromptly ? BatchBackoff.next(Now) : RelayedBatchBackoff.next(Now);
 }
 
--- a/modules/clementine_proxy/node/store_tasks.h
+++ b/modules/clementine_proxy/node/store_tasks.h
@@ -27,6 +27,9 @@
   /// How long the first watch waits after the first listing, unless that was
   /// empty. Where nodes restart, many records change at once.
   duration FirstWatchDelay{0};
+  /// How long changes are read promptly after the store was restored from an
+  /// older copy: the nodes write their lost records again.
+  duration PromptAfterRestore = std::chrono::milliseconds(3000);
   /// The duration of the lease that the node's record is attached to.
   std::chrono::seconds LeaseDuration{6};
   duration RenewInterval = std::chrono::milliseconds(2000);
@@ -62,6 +65,9 @@
     std::function<void(const platform_event &, store_era)> Changed;
     /// @param IsConnected whether the store can be watched.
     std::function<void(bool IsConnected)> Connection;
+    /// Called before Listed if the store was restored from an older copy; may
+    /// be empty.
+    std::function<void()> Restored = {};
   };
 
   prefix_watcher(std::string Name, platform_store &Store, std::string Prefix,
@@ -82,6 +88,7 @@
   void readPromptly(bool IsPrompt) { ReadsPromptly = IsPrompt; }
 
 private:
+  void noteEra(store_era Found);
   duration delayAfterBatch();
   bool listAndWatch(const std::atomic<bool> &Stopping);
   void setConnected(bool IsNow, const platform_error *Error);
@@ -98,6 +105,10 @@
   batch_backoff RelayedBatchBackoff;
   std::optional<bool> IsConnected;
   unsigned Failures = 0;
+  /// The history of the store that was listed last.
+  store_era Era;
+  /// Until when changes are read promptly after a restore.
+  instant PromptUntil;
   bool HasListed = false;
 };
 
--- a/tests/users_platform/test_store.cpp
+++ b/tests/users_platform/test_store.cpp
@@ -325,6 +325,42 @@
   CHECK(Test.Store.get("r/n").value()->Lease != Lost);
 }
 
+TEST_CASE("a prefix watcher misses no key when a restored store has passed the "
+          "watched revision again") {
+  fixture Test;
+  std::mutex Mutex;
+  std::set<std::string> Seen;
+  const auto Note = [&](const std::string &Key) {
+    const std::lock_guard Lock(Mutex);
+    return Seen.insert(Key).second;
+  };
+  const auto HasSeen = [&](const std::string &Key) {
+    const std::lock_guard Lock(Mutex);
+    return Seen.contains(Key);
+  };
+  proxy::prefix_watcher Watcher(
+      "test", Test.Store, "f/", {},
+      {[&](const platform_range &Range) {
+         for (const platform_entry &Entry : Range.Entries)
+           Note(Entry.Key);
+       },
+       [&](const platform_event &Event, store_era) {
+         if (!Note(Event.Entry.Key) || Event.Entry.Key != "f/2")
+           return;
+         Test.Server.restoreCopy();
+         for (const char *Key : {"f/3", "f/4", "f/5"})
+           Test.Server.put(Key, "v");
+       },
+       [](bool) {}});
+  Test.Server.put("f/1", "v");
+  Test.Server.keepCopy();
+  const running_task Running(Watcher);
+  REQUIRE(becomesTrue([&] { return HasSeen("f/1"); }));
+  Test.Server.put("f/2", "v");
+  CHECK(becomesTrue([&] { return HasSeen("f/3"); }));
+  CHECK(becomesTrue([&] { return HasSeen("f/5"); }));
+}
+
 TEST_CASE("a listing whose pages are of two histories of the store is no "
           "listing") {
   const endpoint Address = findFreeEndpoint();
