Relayed records: ordered by the history of the store, then by revision

Cause: a relayed record counted only if its revision was above all that the node had read itself. After the store came back from an older copy revisions begin lower, so relayed news was ignored until the node read the records itself (4 to 8 s).

Change: record_update says which history it was read in, behind the message (an older node ignores it; without it the revision alone decides, as before). A later history is newer whatever its revision. The new test of test_messages names the orders; it cannot be built on the code before, where a lower revision was always ignored. Not reproduced with processes.

--- a/modules/clementine_proxy/node/record_exchange.cpp
+++ b/modules/clementine_proxy/node/record_exchange.cpp
@@ -28,7 +28,7 @@
                                     const store_position &Position) {
   Dependencies.Directory.record(Record);
   if (IsRelay)
-    Dependencies.Peers.broadcast({Record, Position.Revision},
+    Dependencies.Peers.broadcast({Record, Position.Revision, Position.Era},
                                  Dependencies.OwnZone);
   notePosition(Position);
 }
@@ -41,7 +41,7 @@
 
 void record_exchange::relayed(const record_update &Update) {
   Dependencies.Directory.relayedRecord(Update.Record,
-                                       Update.Revision > LastRead.Revision);
+                                       isNewerThanRead(Update, LastRead));
 }
 
 void record_exchange::departureRemembered(const peer_hello &Hello) {
@@ -68,7 +68,7 @@
 }
 
 void record_exchange::notePosition(const store_position &Position) {
-  LastRead.Revision = std::max(LastRead.Revision, Position.Revision);
+  LastRead = std::max(LastRead, Position);
 }
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/record_relay.cpp
+++ b/modules/clementine_proxy/node/record_relay.cpp
@@ -17,4 +17,12 @@
   return static_cast<std::size_t>(Earlier) < RelaysPerZone;
 }
 
+bool isNewerThanRead(const record_update &Update,
+                     const store_position &LastRead) {
+  // A node of an earlier version does not say which history it has read.
+  if (!Update.Era)
+    return Update.Revision > LastRead.Revision;
+  return store_position{Update.Era, Update.Revision} > LastRead;
+}
+
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/record_relay.h
+++ b/modules/clementine_proxy/node/record_relay.h
@@ -1,6 +1,9 @@
 #ifndef CLEMENTINE_PROXY_NODE_RECORD_RELAY_H
 #define CLEMENTINE_PROXY_NODE_RECORD_RELAY_H
 
+#include "clementine_platform/clementine_platform.h"
+#include "clementine_proxy/peers/peer_messages.h"
+
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -19,6 +22,12 @@
 bool isRecordRelay(const std::string &OwnNode,
                    const std::vector<std::string> &NodesOfZone);
 
+/// @returns whether a relayed record is newer than all that this node has read
+/// from the store itself, of which @p LastRead is the last position. An update
+/// of a later history is newer whatever its revision.
+bool isNewerThanRead(const record_update &Update,
+                     const store_position &LastRead);
+
 } // namespace clementine::proxy
 
 #endif
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -288,6 +288,19 @@
   serializeDeparture(Fields, Value.Departed);
 }
 
+/// @name serializeLaterExtension
+/// The fields that were added after those of serializeExtension().
+template <class Archive, class Message>
+void serializeLaterExtension(Archive &, Message &) {}
+
+template <class Archive>
+void serializeLaterExtension(Archive &Fields, record_update &Value) {
+  std::uint64_t Era = Value.Era.value_or(0);
+  bool IsPresent = Value.Era.has_value();
+  Fields(IsPresent, Era);
+  Value.Era = IsPresent ? std::optional(Era) : std::nullopt;
+}
+
 } // namespace
 
 std::string encodeFrame(const peer_message &Message,
@@ -299,8 +312,12 @@
     cereal::PortableBinaryOutputArchive Archive(Stream);
     Archive(Message);
     Archive(std::int64_t{SentAt.count()});
-    std::visit([&Archive](auto Copy) { serializeExtension(Archive, Copy); },
-               Message);
+    std::visit(
+        [&Archive](auto Copy) {
+          serializeExtension(Archive, Copy);
+          serializeLaterExtension(Archive, Copy);
+        },
+        Message);
   }
   const auto Length = boost::endian::native_to_big(
       static_cast<std::uint32_t>(Frame.size() - LengthBytes));
@@ -339,6 +356,10 @@
       SentAt.emplace(Microseconds);
       std::visit([&Archive](auto &Each) { serializeExtension(Archive, Each); },
                  Message);
+      if (Stream.peek() != std::istream::traits_type::eof())
+        std::visit(
+            [&Archive](auto &Each) { serializeLaterExtension(Archive, Each); },
+            Message);
     }
   } catch (const std::exception &) {
     return frame_progress::Malformed;
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -171,6 +171,9 @@
   node_record Record;
   /// The store's revision of the record.
   std::int64_t Revision = 0;
+  /// The history of the store that the revision belongs to; empty if the store
+  /// or the sender does not say.
+  std::optional<std::uint64_t> Era = std::nullopt;
 
   bool operator==(const record_update &) const = default;
 };
--- a/tests/proxy/test_messages.cpp
+++ b/tests/proxy/test_messages.cpp
@@ -160,7 +160,7 @@
       peer_status{},
       config_request{},
       Transfer,
-      record_update{{"n", 5, "z", {"10.0.0.1", 7000}, "s", "i-1", 65}, 9}};
+      record_update{{"n", 5, "z", {"10.0.0.1", 7000}, "s", "i-1", 65}, 9, 4}};
   std::string Stream;
   for (const peer_message &Message : Messages)
     Stream += encodeFrame(Message);
@@ -252,3 +252,33 @@
   CHECK(std::get<peer_hello>(Decoded) == Plain);
   CHECK_FALSE(SentAt.has_value());
 }
+
+TEST_CASE("relayed records count in the order of the store's histories, not of "
+          "revisions that a restored store gives out again") {
+  const auto UpdateAt = [](std::int64_t Revision,
+                           std::optional<std::uint64_t> Era) {
+    record_update Update;
+    Update.Revision = Revision;
+    Update.Era = Era;
+    return Update;
+  };
+  const store_position LastRead{3, 100};
+  CHECK(isNewerThanRead(UpdateAt(101, 3), LastRead));
+  CHECK_FALSE(isNewerThanRead(UpdateAt(100, 3), LastRead));
+  CHECK(isNewerThanRead(UpdateAt(60, 4), LastRead));
+  CHECK_FALSE(isNewerThanRead(UpdateAt(160, 2), LastRead));
+  // A node of an earlier version, or a store without histories.
+  CHECK(isNewerThanRead(UpdateAt(101, std::nullopt), LastRead));
+  CHECK_FALSE(isNewerThanRead(UpdateAt(100, std::nullopt), LastRead));
+
+  // An update of the version before lacks its era.
+  std::string Frame =
+      encodeFrame(UpdateAt(101, 3), std::chrono::microseconds(5));
+  constexpr std::size_t EraBytes = 1 + 8;
+  Frame.resize(Frame.size() - EraBytes);
+  Frame[3] = static_cast<char>(Frame.size() - 4);
+  std::size_t Offset = 0;
+  peer_message Decoded;
+  REQUIRE(decodeFrame(Frame, Offset, Decoded) == frame_progress::Complete);
+  CHECK(std::get<record_update>(Decoded) == UpdateAt(101, std::nullopt));
+}
