Start: the first configuration waits for the versions of other nodes

Callers saw: a node that starts after the store came back from an older copy answered 404 on a route that had been added and confirmed, until the operator wrote its configuration again.

Cause: versions never go back within a process, but a new process has none; it took the older one of the store and became ready. It learned of a newer one only over links that it opens for requests, and without the route there are none. Class: a confirmed state kept only where it can be restored to an older one.

--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -189,6 +189,8 @@
 
   void peerDown(const std::string &Node, bool WasUp) override {
     Forwarder.linkDown(Node, WasUp, now());
+    ConfigExchange.nodeFailed(Node);
+    ConfigExchange.applyHeld(now());
     schedule();
   }
 
@@ -300,6 +302,7 @@
     }
     Forwarder.reopenLinks();
     Records.updateRelayRole();
+    ConfigExchange.applyHeld(Now);
     if (Registration.isHeld() && Now - StartedAt > PreviousRecordTimeout)
       ReportHandler.startAccepting(std::nullopt);
     Decisions.runDue(Now);
--- a/modules/clementine_proxy/node/record_exchange.cpp
+++ b/modules/clementine_proxy/node/record_exchange.cpp
@@ -4,6 +4,7 @@
 #include "clementine_proxy/node/record_relay.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace clementine::proxy {
@@ -11,19 +12,32 @@
 void record_exchange::configRead(
     const std::shared_ptr<const routing_config> &Config,
     platform_revision Revision) {
-  Dependencies.Configs.apply(Config, "store", Revision);
+  Dependencies.Configs.readFromStore(Config, Revision, boot_clock().now());
 }
 
 void record_exchange::recordsListed(const std::vector<node_record> &Records,
                                     const store_position &Position) {
   Dependencies.Directory.replaceAll(Records, boot_clock().now());
   notePosition(Position);
+  if (!std::exchange(HasListed, true))
+    askOtherNodes(Records);
   const auto Own =
       std::ranges::find(Records, Dependencies.OwnNode, &node_record::Node);
   Dependencies.Reports.startAccepting(Own == Records.end() ? std::nullopt
                                                            : Own->Departed);
 }
 
+void record_exchange::askOtherNodes(const std::vector<node_record> &Records) {
+  std::set<std::string> Asked;
+  for (const node_record &Each :
+       selectAdvisers(Dependencies.OwnNode, Records)) {
+    Dependencies.Peers.open(Each.Node, Each.Peer);
+    Asked.insert(Each.Node);
+  }
+  Dependencies.Configs.awaitVersionsOf(std::move(Asked));
+  Dependencies.Configs.applyHeld(boot_clock().now());
+}
+
 void record_exchange::recordChanged(const node_record &Record,
                                     const store_position &Position) {
   Dependencies.Directory.record(Record);
--- a/modules/clementine_proxy/node/record_exchange.h
+++ b/modules/clementine_proxy/node/record_exchange.h
@@ -62,11 +62,13 @@
   void updateRelayRole();
 
 private:
+  void askOtherNodes(const std::vector<node_record> &Records);
   void notePosition(const store_position &Position);
 
   const dependencies Dependencies;
   /// The last position of a record that this node has read itself.
   store_position LastRead;
+  bool HasListed = false;
   bool IsRelay = true;
   const logger Log{"node"};
 };
--- a/modules/clementine_proxy/node/record_relay.cpp
+++ b/modules/clementine_proxy/node/record_relay.cpp
@@ -3,6 +3,7 @@
 #include "clementine_core/clementine_core.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace clementine::proxy {
@@ -17,6 +18,20 @@
   return static_cast<std::size_t>(Earlier) < RelaysPerZone;
 }
 
+std::vector<node_record>
+selectAdvisers(const std::string &OwnNode,
+               const std::vector<node_record> &Records) {
+  std::vector<node_record> Others;
+  std::ranges::copy_if(
+      Records, std::back_inserter(Others),
+      [&](const node_record &Each) { return Each.Node != OwnNode; });
+  std::ranges::sort(Others, {}, [&](const node_record &Each) {
+    return std::pair(stableHash(OwnNode + "/" + Each.Node), Each.Node);
+  });
+  Others.resize(std::min(Others.size(), AdvisersOfStart));
+  return Others;
+}
+
 bool isNewerThanRead(const record_update &Update,
                      const store_position &LastRead) {
   // A node of an earlier version does not say which history it has read.
--- a/modules/clementine_proxy/node/record_relay.h
+++ b/modules/clementine_proxy/node/record_relay.h
@@ -22,6 +22,15 @@
 bool isRecordRelay(const std::string &OwnNode,
                    const std::vector<std::string> &NodesOfZone);
 
+/// How many other nodes a starting node asks for their configuration.
+constexpr std::size_t AdvisersOfStart = 3;
+
+/// Selects the nodes that a starting node asks whether they have a newer
+/// configuration than the store. Each node selects others.
+std::vector<node_record>
+selectAdvisers(const std::string &OwnNode,
+               const std::vector<node_record> &Records);
+
 /// @returns whether a relayed record is newer than all that this node has read
 /// from the store itself, of which @p LastRead is the last position. An update
 /// of a later history is newer whatever its revision.
