--- a/extras/clementine_soak/soak_faults.cpp
+++ b/extras/clementine_soak/soak_faults.cpp
@@ -53,6 +53,7 @@
     {"lapse leases", &soak_faults::lapseLeases},
     {"forget history", &soak_faults::compactHistory},
     {"change config", &soak_faults::changeConfig},
+    {"restore store", &soak_faults::restoreStore},
 };
 
 soak_faults::soak_faults(local_mesh &Mesh, soak_findings &Findings,
@@ -253,7 +254,27 @@
 
 void soak_faults::changeConfig() {
   ++Version;
-  Mesh.configure(Version, {{"/v" + std::to_string(Version) + "/", "archive"}});
+  writeConfig();
+}
+
+void soak_faults::writeConfig() {
+  const std::string Prefix =
+      Version > 1 ? "/v" + std::to_string(Version) + "/" : "/extra/";
+  Mesh.configure(Version, {{Prefix, "archive"}});
+}
+
+/// The store is away for a moment and comes back from an older copy; then the
+/// operator writes its newest configuration again.
+void soak_faults::restoreStore() {
+  Mesh.Store->keepCopy();
+  scheduleEnd(randomDuration(), [this] {
+    Mesh.Store->setOutage(kv_store::outage::Unavailable);
+    scheduleEnd(randomDuration(), [this] {
+      Mesh.Store->restoreCopy();
+      Mesh.Store->setOutage(kv_store::outage::None);
+      scheduleEnd(randomDuration(), [this] { writeConfig(); });
+    });
+  });
 }
 
 } // namespace clementine::soak
--- a/extras/clementine_soak/soak_faults.h
+++ b/extras/clementine_soak/soak_faults.h
@@ -65,7 +65,9 @@
   void loseStoreAnswers();
   void lapseLeases();
   void compactHistory();
+  void restoreStore();
   void changeConfig();
+  void writeConfig();
 
   stand_in::local_mesh &Mesh;
   soak_findings &Findings;
