Store position: order without the three-way comparison

clang-tidy (modernize-use-nullptr, readability-identifier-naming) reports the default three-way comparison where it is used. No change of behaviour. test_proxy passes (84 cases); test_users_platform and the process tests were not built again on it.

--- a/modules/clementine_platform/store/platform_types.h
+++ b/modules/clementine_platform/store/platform_types.h
@@ -2,10 +2,10 @@
 #define CLEMENTINE_PLATFORM_STORE_PLATFORM_TYPES_H
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace clementine {
@@ -33,7 +33,11 @@
   store_era Era;
   platform_revision Revision = 0;
 
-  auto operator<=>(const store_position &) const = default;
+  bool operator==(const store_position &) const = default;
+
+  bool operator<(const store_position &Other) const {
+    return std::tie(Era, Revision) < std::tie(Other.Era, Other.Revision);
+  }
 };
 
 /// A stored key with its value and history.
--- a/modules/clementine_proxy/node/record_relay.cpp
+++ b/modules/clementine_proxy/node/record_relay.cpp
@@ -37,7 +37,7 @@
   // A node of an earlier version does not say which history it has read.
   if (!Update.Era)
     return Update.Revision > LastRead.Revision;
-  return store_position{Update.Era, Update.Revision} > LastRead;
+  return LastRead < store_position{Update.Era, Update.Revision};
 }
 
 } // namespace clementine::proxy
