--- a/modules/clementine_proxy/node/record_exchange.cpp
+++ b/modules/clementine_proxy/node/record_exchange.cpp
@@ -4,6 +4,7 @@
 #include "clementine_proxy/node/record_relay.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace clementine::proxy {
@@ -11,36 +12,50 @@
 void record_exchange::configRead(
     const std::shared_ptr<const routing_config> &Config,
     platform_revision Revision) {
-  Dependencies.Configs.apply(Config, "store", Revision);
+  Dependencies.Configs.readFromStore(Config, Revision, boot_clock().now());
 }
 
 void record_exchange::recordsListed(const std::vector<node_record> &Records,
-                                    platform_revision Revision) {
+                                    const store_position &Position) {
   Dependencies.Directory.replaceAll(Records, boot_clock().now());
-  noteRevision(Revision);
+  notePosition(Position);
+  if (!std::exchange(HasListed, true))
+    askOtherNodes(Records);
   const auto Own =
       std::ranges::find(Records, Dependencies.OwnNode, &node_record::Node);
   Dependencies.Reports.startAccepting(Own == Records.end() ? std::nullopt
                                                            : Own->Departed);
 }
 
+void record_exchange::askOtherNodes(const std::vector<node_record> &Records) {
+  std::set<std::string> Asked;
+  for (const node_record &Each :
+       selectAdvisers(Dependencies.OwnNode, Records)) {
+    Dependencies.Peers.open(Each.Node, Each.Peer);
+    Asked.insert(Each.Node);
+  }
+  Dependencies.Configs.awaitVersionsOf(std::move(Asked));
+  Dependencies.Configs.applyHeld(boot_clock().now());
+}
+
 void record_exchange::recordChanged(const node_record &Record,
-                                    platform_revision Revision) {
+                                    const store_position &Position) {
   Dependencies.Directory.record(Record);
   if (IsRelay)
-    Dependencies.Peers.broadcast({Record, Revision}, Dependencies.OwnZone);
-  noteRevision(Revision);
+    Dependencies.Peers.broadcast({Record, Position.Revision, Position.Era},
+                                 Dependencies.OwnZone);
+  notePosition(Position);
 }
 
 void record_exchange::recordRemoved(const std::string &Node,
-                                    platform_revision Revision) {
+                                    const store_position &Position) {
   Dependencies.Directory.markRecordRemoved(Node, boot_clock().now());
-  noteRevision(Revision);
+  notePosition(Position);
 }
 
 void record_exchange::relayed(const record_update &Update) {
   Dependencies.Directory.relayedRecord(Update.Record,
-                                       Update.Revision > LastRevision);
+                                       isNewerThanRead(Update, LastRead));
 }
 
 void record_exchange::departureRemembered(const peer_hello &Hello) {
@@ -66,8 +81,8 @@
                      : "no longer passes records on");
 }
 
-void record_exchange::noteRevision(platform_revision Revision) {
-  LastRevision = std::max(LastRevision, Revision);
+void record_exchange::notePosition(const store_position &Position) {
+  LastRead = std::max(LastRead, Position);
 }
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/store_tasks.h
+++ b/modules/clementine_proxy/node/store_tasks.h
@@ -27,6 +27,9 @@
   /// How long the first watch waits after the first listing, unless that was
   /// empty. Where nodes restart, many records change at once.
   duration FirstWatchDelay{0};
+  /// How long changes are read promptly after the store was restored from an
+  /// older copy: the nodes write their lost records again.
+  duration PromptAfterRestore = std::chrono::milliseconds(3000);
   /// The duration of the lease that the node's record is attached to.
   std::chrono::seconds LeaseDuration{6};
   duration RenewInterval = std::chrono::milliseconds(2000);
@@ -52,16 +55,19 @@
 };
 
 /// Watches every key under a prefix: reads all entries first, then each change.
-/// After a failure, or when the store has compacted its history, it reads all
-/// entries again.
+/// After a failure, or when the store has compacted its history or was restored
+/// from an older copy, it reads all entries again.
 class prefix_watcher {
 public:
   /// Callbacks, called on the task's thread.
   struct listener {
-    std::function<void(const std::vector<platform_entry> &)> Listed;
-    std::function<void(const platform_event &)> Changed;
+    std::function<void(const platform_range &)> Listed;
+    std::function<void(const platform_event &, store_era)> Changed;
     /// @param IsConnected whether the store can be watched.
     std::function<void(bool IsConnected)> Connection;
+    /// Called before Listed if the store was restored from an older copy; may
+    /// be empty.
+    std::function<void()> Restored = {};
   };
 
   prefix_watcher(std::string Name, platform_store &Store, std::string Prefix,
@@ -82,6 +88,7 @@
   void readPromptly(bool IsPrompt) { ReadsPromptly = IsPrompt; }
 
 private:
+  void noteEra(store_era Found);
   duration delayAfterBatch();
   bool listAndWatch(const std::atomic<bool> &Stopping);
   void setConnected(bool IsNow, const platform_error *Error);
@@ -98,16 +105,22 @@
   batch_backoff RelayedBatchBackoff;
   std::optional<bool> IsConnected;
   unsigned Failures = 0;
+  /// The history of the store that was listed last.
+  store_era Era;
+  /// Until when changes are read promptly after a restore.
+  instant PromptUntil;
   bool HasListed = false;
 };
 
 /// Publishes this node's record in the store under a lease. Each write is
 /// conditional on the key's revision, so that a write which the store carries
-/// out late cannot overwrite a newer one.
+/// out late cannot overwrite a newer one. When the store was restored from an
+/// older copy, the lease and the revision are void, and the record is written
+/// again.
 class record_publisher {
 public:
   /// @param Recovered called on the task's thread when a call succeeds after
-  /// one that failed.
+  /// one that failed, or after the store was restored.
   record_publisher(platform_store &Store, std::string Key,
                    store_task_settings Settings,
                    std::function<void()> Recovered);
@@ -121,11 +134,20 @@
   /// Runs until stopped; the body of the task.
   void run(const std::atomic<bool> &Stopping);
   void wake() { Sleep.wake(); }
+  /// Renews the lease at once, so that the answer shows whether the store was
+  /// restored. Thread-safe.
+  void renewNow() {
+    RenewsNow = true;
+    Sleep.wake();
+  }
 
 private:
   bool synchronize();
   bool isStoreReachable();
   bool ensureLease();
+  bool renewLease();
+  bool grantLease();
+  bool noteEra(store_era Found);
   bool write(const std::optional<node_record> &Desired);
   bool readRevision();
   std::optional<platform_commit>
@@ -144,6 +166,10 @@
   /// The revision of the key; empty while it has to be read. A new process
   /// assumes that there is none; the store says if that is wrong.
   std::optional<platform_revision> Revision = 0;
+  /// The history of the store that Lease and Revision belong to.
+  store_era Era;
+  bool WasRestored = false;
+  std::atomic<bool> RenewsNow{false};
   lease_id Lease = 0;
   instant RenewedAt;
   /// When the store last answered a call.
--- a/tests/users_platform/test_store.cpp
+++ b/tests/users_platform/test_store.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <set>
 #include <thread>
 
 using namespace clementine;
@@ -20,6 +22,34 @@
   return Limits;
 }
 
+/// Polls @p Condition for at most 10 seconds.
+bool becomesTrue(const std::function<bool()> &Condition) {
+  constexpr int MostSteps = 1000;
+  for (int Step = 0; Step < MostSteps && !Condition(); ++Step)
+    std::this_thread::sleep_for(10ms);
+  return Condition();
+}
+
+/// Runs a publisher or a watcher on a thread of its own.
+template <class Task> class running_task {
+public:
+  explicit running_task(Task &Running)
+      : Running(Running), Thread([this] { this->Running.run(Stopping); }) {}
+  ~running_task() {
+    Stopping = true;
+    Running.wake();
+    Thread.join();
+  }
+
+  running_task(const running_task &) = delete;
+  running_task &operator=(const running_task &) = delete;
+
+private:
+  Task &Running;
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
 struct fixture {
   platform_transaction conditionalPut(const std::string &Key,
                                       const std::string &Value,
@@ -86,6 +116,39 @@
   CHECK(Test.Store.get("k"));
 }
 
+TEST_CASE("a stand-in store restored from a copy has lost keys and leases, and "
+          "gives their numbers out again") {
+  fixture Test;
+  http_channel Channel("http://" + Test.Address.text(), shortLimits());
+  const auto Kept = Test.Store.grantLease(2s).value();
+  REQUIRE(Test.Store.commit(Test.conditionalPut("kept", "1", 0, Kept.Id)));
+  Test.Server.keepCopy();
+  const auto Lost = Test.Store.grantLease(2s).value();
+  const auto Written =
+      Test.Store.commit(Test.conditionalPut("lost", "1", 0, Lost.Id)).value();
+  const auto WatchAfter = [&](platform_revision Revision) {
+    return Channel
+        .get("/clementinecove/kv-watch?prefix=lost&wait_ms=200&after=" +
+             std::to_string(Revision))
+        .value()
+        .Status;
+  };
+  CHECK(WatchAfter(Written.Revision) == 200);
+  REQUIRE(Written.Era);
+  Test.Server.restoreCopy();
+  CHECK(Test.Store.list("kept").value().Era == *Written.Era + 1);
+  CHECK(Test.Server.valueOf("lost").empty());
+  CHECK(Test.Server.valueOf("kept") == "1");
+  CHECK(Test.Store.renewLease(Kept.Id));
+  CHECK(Test.Store.renewLease(Lost.Id).has_error());
+  CHECK(WatchAfter(Written.Revision) == 410);
+  CHECK(Test.Store.grantLease(2s).value().Id == Lost.Id);
+  CHECK(Test.Store.commit(Test.conditionalPut("other", "1", 0))
+            .value()
+            .Revision == Written.Revision);
+  CHECK(WatchAfter(Written.Revision) == 200);
+}
+
 TEST_CASE(
     "renewing an expired lease reports LeaseNotFound; revoking it succeeds") {
   fixture Test;
@@ -108,18 +171,18 @@
   fixture Test;
   std::mutex Mutex;
   std::map<std::string, std::string> Seen;
-  proxy::prefix_watcher Watcher(
-      "test", Test.Store, "f/", {},
-      {[&](const std::vector<platform_entry> &Entries) {
-         const std::lock_guard Lock(Mutex);
-         for (const platform_entry &Entry : Entries)
-           Seen[Entry.Key] = Entry.Value;
-       },
-       [&](const platform_event &Event) {
-         const std::lock_guard Lock(Mutex);
-         Seen[Event.Entry.Key] = Event.Entry.Value;
-       },
-       [](bool) {}});
+  proxy::prefix_watcher Watcher("test", Test.Store, "f/", {},
+                                {[&](const platform_range &Range) {
+                                   const std::lock_guard Lock(Mutex);
+                                   for (const platform_entry &Entry :
+                                        Range.Entries)
+                                     Seen[Entry.Key] = Entry.Value;
+                                 },
+                                 [&](const platform_event &Event, store_era) {
+                                   const std::lock_guard Lock(Mutex);
+                                   Seen[Event.Entry.Key] = Event.Entry.Value;
+                                 },
+                                 [](bool) {}});
   const auto WaitForKey = [&](const std::string &Key) {
     for (int Step = 0; Step < 1000; ++Step) {
       {
@@ -216,3 +279,104 @@
   CHECK(CallsToWrite({"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5}) == 2);
   CHECK(CallsToWrite({"n", 2, "z", {"127.0.0.1", 1}, "s", "i", 5}) == 3);
 }
+
+TEST_CASE("a record is written again if the store lost its last write with a "
+          "restored copy, though its lease can be renewed") {
+  fixture Test;
+  proxy::store_task_settings Settings;
+  Settings.RenewInterval = 50ms;
+  proxy::record_publisher Publisher(Test.Store, "r/n", Settings, [] {});
+  const proxy::node_record Before{"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5};
+  proxy::node_record After = Before;
+  After.Instance.clear();
+  After.Departed = proxy::instance_run{"i", 1};
+  Publisher.publish(Before);
+  const running_task Running(Publisher);
+  const auto IsStored = [&](const proxy::node_record &Record) {
+    return Test.Server.valueOf("r/n") == Record.encoded();
+  };
+  REQUIRE(becomesTrue([&] { return IsStored(Before); }));
+  Test.Server.keepCopy();
+  Publisher.publish(After);
+  REQUIRE(becomesTrue([&] { return IsStored(After); }));
+  Test.Server.restoreCopy();
+  REQUIRE(IsStored(Before));
+  CHECK(becomesTrue([&] { return IsStored(After); }));
+}
+
+TEST_CASE("a record is written again if a restored store has given its lease "
+          "to another node") {
+  fixture Test;
+  proxy::store_task_settings Settings;
+  Settings.RenewInterval = 1000ms;
+  proxy::record_publisher Publisher(Test.Store, "r/n", Settings, [] {});
+  const proxy::node_record Record{"n", 1, "z", {"127.0.0.1", 1}, "s", "i", 5};
+  Test.Server.keepCopy();
+  Publisher.publish(Record);
+  const running_task Running(Publisher);
+  const auto IsStored = [&] {
+    return Test.Server.valueOf("r/n") == Record.encoded();
+  };
+  REQUIRE(becomesTrue(IsStored));
+  const lease_id Lost = Test.Store.get("r/n").value()->Lease;
+  Test.Server.restoreCopy();
+  REQUIRE(Test.Store.grantLease(30s).value().Id == Lost);
+  REQUIRE(becomesTrue(IsStored));
+  CHECK(Test.Store.get("r/n").value()->Lease != Lost);
+}
+
+TEST_CASE("a prefix watcher misses no key when a restored store has passed the "
+          "watched revision again") {
+  fixture Test;
+  std::mutex Mutex;
+  std::set<std::string> Seen;
+  const auto Note = [&](const std::string &Key) {
+    const std::lock_guard Lock(Mutex);
+    return Seen.insert(Key).second;
+  };
+  const auto HasSeen = [&](const std::string &Key) {
+    const std::lock_guard Lock(Mutex);
+    return Seen.contains(Key);
+  };
+  proxy::prefix_watcher Watcher(
+      "test", Test.Store, "f/", {},
+      {[&](const platform_range &Range) {
+         for (const platform_entry &Entry : Range.Entries)
+           Note(Entry.Key);
+       },
+       [&](const platform_event &Event, store_era) {
+         if (!Note(Event.Entry.Key) || Event.Entry.Key != "f/2")
+           return;
+         Test.Server.restoreCopy();
+         for (const char *Key : {"f/3", "f/4", "f/5"})
+           Test.Server.put(Key, "v");
+       },
+       [](bool) {}});
+  Test.Server.put("f/1", "v");
+  Test.Server.keepCopy();
+  const running_task Running(Watcher);
+  REQUIRE(becomesTrue([&] { return HasSeen("f/1"); }));
+  Test.Server.put("f/2", "v");
+  CHECK(becomesTrue([&] { return HasSeen("f/3"); }));
+  CHECK(becomesTrue([&] { return HasSeen("f/5"); }));
+}
+
+TEST_CASE("a listing whose pages are of two histories of the store is no "
+          "listing") {
+  const endpoint Address = findFreeEndpoint();
+  std::atomic<int> Pages{0};
+  stand_in::http_server Server(
+      Address, {}, [&](const stand_in::http_request &) {
+        const int Page = ++Pages;
+        stand_in::http_answer Answer;
+        Answer.Headers = {{"Store-Era", std::to_string(Page)}};
+        Answer.Body =
+            R"({"items":[{"key":"a/1","revision":3}],"at":4,"has_more":)" +
+            std::string(Page == 1 ? "true}" : "false}");
+        return Answer;
+      });
+  users::kv_platform_store Store("http://" + Address.text(), shortLimits());
+  const auto Listed = Store.list("a/");
+  REQUIRE(Listed.has_error());
+  CHECK(Listed.error().Cause == platform_cause::Compacted);
+}
