--- a/tests/users_platform/test_odd_input.cpp
+++ b/tests/users_platform/test_odd_input.cpp
@@ -52,15 +52,16 @@
     Configs.push_back(Config->Version);
   }
   void recordsListed(const std::vector<node_record> &Records,
-                     platform_revision) override {
+                     const store_position &) override {
     Listed.clear();
     for (const node_record &Record : Records)
       Listed.push_back(Record.Node);
   }
-  void recordChanged(const node_record &Record, platform_revision) override {
+  void recordChanged(const node_record &Record,
+                     const store_position &) override {
     Changed.push_back(Record.Node);
   }
-  void recordRemoved(const std::string &, platform_revision) override {}
+  void recordRemoved(const std::string &, const store_position &) override {}
 
   std::vector<std::uint64_t> Configs;
   std::vector<std::string> Listed;
