--- a/tests/users_process/test_store_restored.cpp
+++ b/tests/users_process/test_store_restored.cpp
@@ -95,8 +95,10 @@
   CHECK(notServing(Mesh, "/front/1").empty());
   Mesh.configure(2, Added);
   std::this_thread::sleep_until(RecordsDue);
-  for (const auto &[Name, Record] : Before)
-    CHECK_MESSAGE(recordOf(Mesh, Name) == Record, Name);
+  for (const auto &Each : Before) {
+    CAPTURE(Each.first);
+    CHECK(recordOf(Mesh, Each.first) == Each.second);
+  }
   CHECK(notServing(Mesh, "/added/1").empty());
   CHECK(notServing(Mesh, "/front/1").empty());
   CHECK(Mesh.Runs.by("desk-east-1") == DrainedRuns);
