Stop: a gate that is about to end takes no late orders and reports all others

Callers of other nodes saw requests taken late in a planned stop and cut without an answer, among them requests that may not be repeated.

Cause: only the forwarder knew of a stop; the gate ran each order that came over a link until the links closed, and then dropped what was running or queued. A node that ends offers its own requests to other gates first. graceful_stop holds the phases.

--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -57,6 +57,8 @@
 
 app_instance::app_instance(app_instance_settings Given, run_counts &Runs)
     : Settings(std::move(Given)), Runs(Runs),
+      ServiceTime(std::chrono::duration_cast<std::chrono::milliseconds>(
+          Settings.ServiceTime)),
       Server(std::make_unique<http_server>(
           Settings.Listen, http_server::limits{},
           [this](const http_request &Request) { return handle(Request); })),
@@ -83,7 +85,7 @@
     Answer = refusal(Unavailable);
   } else {
     Runs.add(Id, Request.Method, Settings.Id);
-    std::this_thread::sleep_for(Settings.ServiceTime);
+    std::this_thread::sleep_for(ServiceTime.load());
     Answer.Status = makeSubCalls(Request) ? Ok : ServerError;
     Answer.Body = Settings.Service + " ran " + Id + " from " +
                   Request.header("X-Caller-Service") + ": " + Request.Body;
--- a/extras/stand_in_users_platform/app_instance.h
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -6,6 +6,7 @@
 #include "stand_in_http/http_server.h"
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -85,6 +86,9 @@
 
   const std::string &id() const { return Settings.Id; }
 
+  /// Sets how long the runs that begin from now on take.
+  void setServiceTime(std::chrono::milliseconds Time) { ServiceTime = Time; }
+
   /// Cuts off the responses to the next @p Count runs.
   void loseAnswers(int Count) { LostAnswers = Count; }
 
@@ -97,6 +101,7 @@
 
   const app_instance_settings Settings;
   run_counts &Runs;
+  std::atomic<std::chrono::milliseconds> ServiceTime;
   std::atomic<bool> IsDraining{false};
   std::atomic<bool> ReportsPaused{false};
   std::atomic<int> LostAnswers{0};
--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -88,7 +88,7 @@
 }
 
 void forwarder::tryNextGate(const call_pointer &Call, instant Now) {
-  if (Now >= Call->TimeoutAt)
+  if (!MayOffer || Now >= Call->TimeoutAt)
     return cancelOrFail(Call, Now);
   const known_gate *Gate =
       Call->Offers < Settings.MaxOffers
@@ -285,6 +285,14 @@
   erase(*Call);
 }
 
+void forwarder::cancelAll(instant Now) {
+  MayOffer = false;
+  const auto Unanswered = Calls;
+  for (const auto &[Number, Call] : Unanswered)
+    if (!Call->Attempt || !Call->Attempt->IsCancelled)
+      cancelOrFail(Call, Now);
+}
+
 void forwarder::answerAll(instant Now) {
   const auto Unanswered = Calls;
   for (const auto &[Number, Call] : Unanswered) {
--- a/modules/clementine_proxy/entry/forwarder.h
+++ b/modules/clementine_proxy/entry/forwarder.h
@@ -89,8 +89,13 @@
   /// before they could finish.
   void refuseFrom(instant Time) { RefusesFrom = Time; }
 
+  /// Offers no request to a gate any more and cancels the attempts at work: the
+  /// process ends. A request is answered once its gate has reported, or after
+  /// forwarder_settings::CancelGrace.
+  void cancelAll(instant Now);
+
   /// Answers every request that has no response yet, without waiting for its
-  /// gate: the process ends.
+  /// gate.
   void answerAll(instant Now);
 
   void handleReport(const std::string &Node, run_report Report, instant Now);
@@ -167,6 +172,8 @@
   random_source &Random;
   std::shared_ptr<const route_table> Routes;
   instant RefusesFrom = instant::max();
+  /// Whether requests may still be offered to gates.
+  bool MayOffer = true;
   std::uint64_t LastNumber = 0;
   std::unordered_map<call_number, call_pointer> Calls;
   std::unordered_map<attempt_id, call_pointer, request_id_hash> CallsByAttempt;
--- a/modules/clementine_proxy/entry/instance_directory.cpp
+++ b/modules/clementine_proxy/entry/instance_directory.cpp
@@ -118,6 +118,12 @@
         std::max(Found->second.DownUntil, Now + Settings.UnresponsiveAvoidTime);
 }
 
+void instance_directory::markLeaving(const std::string &Node) {
+  const auto Found = Gates.find(Node);
+  if (Found != Gates.end())
+    Found->second.DownUntil = instant::max();
+}
+
 void instance_directory::status(const std::string &Node,
                                 const gate_status &Status) {
   const auto Found = Gates.find(Node);
--- a/modules/clementine_proxy/entry/instance_directory.h
+++ b/modules/clementine_proxy/entry/instance_directory.h
@@ -80,6 +80,9 @@
   void markConnected(const std::string &Node, const peer_hello &Hello);
   void markDisconnected(const std::string &Node, instant Now);
   void markUnresponsive(const std::string &Node, instant Now);
+  /// Avoids the gate of a node that ends: it is chosen only if no other one is
+  /// left.
+  void markLeaving(const std::string &Node);
   void status(const std::string &Node, const gate_status &Status);
   /// Records a departure that a node has announced, unless a later one is
   /// known.
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace clementine::proxy {
 
@@ -71,7 +72,7 @@
   Run.Link = Link;
   Run.AttemptRequest = std::move(AttemptRequest);
   Run.Deadline = Deadline;
-  if (Registration.ready() == nullptr || !Admission ||
+  if (Now >= RefusesFrom || Registration.ready() == nullptr || !Admission ||
       Run.AttemptRequest.Service != Registration.ready()->Service)
     return refuse(Attempt, run_cause::NoInstance, Now);
   if (Now < UnreachableUntil)
@@ -223,12 +224,28 @@
   }
   if (!Cancel.AbortsRunning)
     return;
-  Port.abortInstance(Cancel.Attempt);
+  abort(Cancel.Attempt, run_cause::Cancelled, Now);
+}
+
+void instance_gate::abort(const attempt_id &Attempt, run_cause Cause,
+                          instant Now) {
+  Port.abortInstance(Attempt);
   instance_result Result;
   Result.Outcome = run_outcome::Unknown;
-  Result.Cause = run_cause::Cancelled;
+  Result.Cause = Cause;
   Result.ReachedInstance = true;
-  instanceEnded(Cancel.Attempt, std::move(Result), Now);
+  instanceEnded(Attempt, std::move(Result), Now);
+}
+
+void instance_gate::endAll(instant Now) {
+  refuseFrom(Now);
+  if (Admission && !Admission->isDraining())
+    applyActions(Admission->drain(Now), Now);
+  std::vector<attempt_id> Running;
+  for (const auto &[Attempt, Run] : Runs)
+    Running.push_back(Attempt);
+  for (const attempt_id &Attempt : Running)
+    abort(Attempt, run_cause::LinkLost, Now);
 }
 
 void instance_gate::instanceEnded(const attempt_id &Attempt,
--- a/modules/clementine_proxy/gate/instance_gate.h
+++ b/modules/clementine_proxy/gate/instance_gate.h
@@ -83,6 +83,14 @@
   /// refuses all queued runs if none is ready.
   void instanceChanged(instant Now);
 
+  /// Refuses the orders that arrive at @p Time or later: the process ends
+  /// before they could finish.
+  void refuseFrom(instant Time) { RefusesFrom = Time; }
+
+  /// Reports every run that has not ended, without waiting for the instance: a
+  /// queued one as not run, any other as unknown. Accepts no more orders.
+  void endAll(instant Now);
+
   /// Refuses queued runs that can no longer complete in time.
   void passTime(instant Now);
   /// @returns when passTime() has to be called next, if at all.
@@ -107,6 +115,7 @@
   void applyActions(const gate_actions &Actions, instant Now);
   void start(const attempt_id &Attempt, instant Now);
   void refuse(const attempt_id &Attempt, run_cause Cause, instant Now);
+  void abort(const attempt_id &Attempt, run_cause Cause, instant Now);
   void finish(const attempt_id &Attempt, instance_result Result, instant Now);
   bool reportEnded(std::uint64_t Link, const attempt_id &Attempt, instant Now);
   run_report unknownAttempt(const attempt_id &Attempt, bool IsProvenNotRun,
@@ -123,6 +132,7 @@
   std::unordered_map<attempt_id, active_run, request_id_hash> Runs;
   ended_runs Ended;
   instant UnreachableUntil;
+  instant RefusesFrom = instant::max();
 };
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -9,6 +9,7 @@
 #include "clementine_proxy/node/config_exchange.h"
 #include "clementine_proxy/node/critical_task.h"
 #include "clementine_proxy/node/decision_timer.h"
+#include "clementine_proxy/node/graceful_stop.h"
 #include "clementine_proxy/node/instance_report_handler.h"
 #include "clementine_proxy/node/loop_calls.h"
 #include "clementine_proxy/node/node_status_publisher.h"
@@ -16,7 +17,6 @@
 #include "clementine_proxy/node/process_start.h"
 #include "clementine_proxy/node/record_exchange.h"
 #include "clementine_proxy/node/repeating_timer.h"
-#include "clementine_proxy/node/stop_timing.h"
 #include "clementine_proxy/peers/peer_hub.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
@@ -87,6 +87,10 @@
         Store(Adapter, Loop, Settings.Name, Metrics, Records),
         StatusPublisher({Settings, Registration, Gate, Directory, Peers, Store},
                         Incarnation),
+        Stop(Settings.StopGrace,
+             {Loop, Forwarder, Gate, Outbound, Control, Peers,
+              [this] { this->Adapter.store().interrupt(); },
+              [this] { schedule(); }}),
         Root("proxy") {
     Registration.hold();
     addTasks();
@@ -111,19 +115,8 @@
   bool stop() {
     const instant Begun = now();
     Log.info("node is leaving");
-    runOnLoop(Loop, [this] { leave(); });
-    const instant End = Begun + Stop.WorkEnd;
-    const instant StoreEnd = Begun + Stop.StoreEnd;
-    bool IsFinished = false;
-    while (!IsFinished && now() < End) {
-      std::this_thread::sleep_for(StopPollInterval);
-      runOnLoop(Loop, [&] { IsFinished = isIdle(); });
-      if (IsFinished || now() >= StoreEnd)
-        Adapter.store().interrupt();
-    }
-    if (!IsFinished)
-      answerRemainingCalls();
-    closeLinks();
+    runOnLoop(Loop, [this, Begun] { leave(Begun); });
+    const bool IsFinished = Stop.awaitEnd();
     runOnLoop(Loop, [this] { close(); });
     Root.stop();
     Log.info("node stopped", {{"finished", IsFinished ? 1 : 0}});
@@ -133,28 +126,6 @@
 private:
   static instant now() { return boot_clock().now(); }
 
-  void answerRemainingCalls() {
-    runOnLoop(Loop, [this] {
-      Forwarder.refuseFrom(now());
-      Forwarder.answerAll(now());
-    });
-    awaitOnLoop(
-        Loop, [this] { return !Outbound.isBusy(); }, ResponseWriteTime);
-  }
-
-  /// Lets the last reports and responses reach those that wait for them. No
-  /// request or report of the instance is accepted meanwhile.
-  void closeLinks() {
-    runOnLoop(Loop, [this] {
-      Forwarder.refuseFrom(now());
-      Control.stop();
-      Peers.beginClosing();
-    });
-    awaitOnLoop(
-        Loop, [this] { return !Peers.hasLinks() && !Outbound.isInUse(); },
-        LinkCloseTime);
-  }
-
   /// The loop starts first and stops last: the tasks of the store post to it.
   void addTasks() {
     Root.add(makeCriticalTask(
@@ -308,30 +279,14 @@
     if (Registration.isHeld() && Now - StartedAt > PreviousRecordTimeout)
       ReportHandler.startAccepting(std::nullopt);
     Decisions.runDue(Now);
-    if (StatusPublisher.isLeaving() && !HasStoppedAccepting &&
-        Now - LeavingSince > Stop.ConnectionsEnd)
-      stopAcceptingCalls();
+    Stop.passTime(Now);
   }
 
   /// @name Stopping
-  void leave() {
-    LeavingSince = now();
-    Forwarder.refuseFrom(LeavingSince + Stop.RequestsEnd);
+  void leave(instant Now) {
+    Stop.begin(Now);
     StatusPublisher.leave();
-  }
-
-  /// Accepts no new connections and closes each persistent one behind the last
-  /// request accepted on it.
-  void stopAcceptingCalls() {
-    HasStoppedAccepting = true;
-    Outbound.stop();
-    Log.info("no longer accepting caller connections",
-             {{"active", Forwarder.active()}});
-  }
-
-  bool isIdle() const {
-    return HasStoppedAccepting && Forwarder.active() == 0 &&
-           Gate.active() == 0 && !Outbound.isInUse();
+    Directory.markLeaving(Settings.Name);
   }
 
   void close() {
@@ -346,7 +301,6 @@
   }
 
   const proxy_settings Settings;
-  const stop_timing Stop{Settings.StopGrace};
   deployment_adapter &Adapter;
   const logger Log{"node"};
   const std::uint64_t Incarnation = wallMilliseconds();
@@ -376,10 +330,9 @@
   record_exchange Records;
   store_synchronizer Store;
   node_status_publisher StatusPublisher;
+  graceful_stop Stop;
   supervisor Root;
   const instant StartedAt = now();
-  bool HasStoppedAccepting = false;
-  instant LeavingSince;
 };
 
 proxy_node::proxy_node(proxy_settings Settings, deployment_adapter &Adapter)
--- a/modules/clementine_proxy/node/stop_timing.h
+++ b/modules/clementine_proxy/node/stop_timing.h
@@ -32,23 +32,18 @@
 
   /// New connections are accepted until then.
   duration ConnectionsEnd;
-  /// Requests are accepted until then, later ones are refused: what was
-  /// accepted has the rest of the grace to finish.
+  /// Requests of callers and orders of other nodes are accepted until then,
+  /// later ones are refused: what was accepted has the rest of the grace to
+  /// finish.
   duration RequestsEnd;
   /// Calls to the store are interrupted then.
   duration StoreEnd;
-  /// Requests that are still at work are answered then.
+  /// Requests that are still at work are answered then, orders reported.
   duration WorkEnd;
 
   bool operator==(const stop_timing &) const = default;
 };
 
-constexpr std::chrono::milliseconds StopPollInterval{20};
-/// How long the final responses of a stop may take to be written.
-constexpr std::chrono::milliseconds ResponseWriteTime{200};
-/// How long the links of a stopped node may take to close.
-constexpr std::chrono::milliseconds LinkCloseTime{300};
-
 } // namespace clementine::proxy
 
 #endif
--- a/tests/proxy/test_forwarder.cpp
+++ b/tests/proxy/test_forwarder.cpp
@@ -348,6 +348,33 @@
   CHECK(std::holds_alternative<run_cancel>(Test.Port.Sent.back().second));
 }
 
+TEST_CASE("at the end of a stop a request that its gate has not run is "
+          "answered so, and is offered to no other gate") {
+  fixture Test;
+  const auto NotRun = Test.begin("/book/1");
+  Test.Forwarder.cancelAll(Test.Now);
+  CHECK(std::holds_alternative<run_cancel>(Test.Port.Sent.back().second));
+  CHECK(Test.status(NotRun) == 0);
+  Test.Port.Sent.pop_back();
+  Test.end(run_outcome::NotRun, run_cause::Cancelled, false);
+  CHECK(Test.status(NotRun) == 503);
+  CHECK(Test.Port.Sent.size() == 1);
+  const auto Waiting = Test.begin("/book/2");
+  CHECK(Test.status(Waiting) == 503);
+  CHECK(Test.Port.Sent.size() == 1);
+}
+
+TEST_CASE("at the end of a stop a request whose gate does not report is "
+          "answered as possibly run") {
+  fixture Test;
+  const auto Call = Test.begin("/book/1");
+  Test.Forwarder.cancelAll(Test.Now);
+  Test.Now += 100ms;
+  Test.Forwarder.passTime(Test.Now);
+  CHECK(Test.status(Call) == 502);
+  CHECK(Test.Forwarder.active() == 0);
+}
+
 TEST_CASE("a gate whose status shows no ready instance is not chosen") {
   fixture Test;
   Test.Directory.status("a", {"", 0, 0, 10, true});
@@ -358,6 +385,20 @@
   }
 }
 
+TEST_CASE("a node that ends gives its own instance no request that another "
+          "one can run") {
+  fixture Test;
+  Test.Directory.markLeaving("a");
+  Test.Directory.status("a", {"i", 0, 0, 10, true});
+  Test.Directory.status("b", {"i", 10, 5, 10, true});
+  Test.Directory.status("c", {"", 0, 0, 10, true});
+  Test.begin("/read/1");
+  CHECK(Test.lastNode() == "b");
+  Test.Directory.status("b", {"", 0, 0, 10, true});
+  Test.begin("/read/1");
+  CHECK(Test.lastNode() == "a");
+}
+
 TEST_CASE("a gate whose link is unresponsive is avoided temporarily") {
   fixture Test;
   for (const char *Node : {"a", "b"})
--- a/tests/proxy/test_gate.cpp
+++ b/tests/proxy/test_gate.cpp
@@ -208,3 +208,42 @@
   Test.order();
   CHECK(Test.Port.Called.size() == 2);
 }
+
+TEST_CASE("a gate whose process is about to end runs no late order") {
+  fixture Test;
+  const auto First = Test.order();
+  Test.Gate.refuseFrom(Test.Now + 1s);
+  Test.order();
+  CHECK(Test.Port.Called.size() == 2);
+  Test.Now += 1s;
+  Test.complete(First);
+  Test.order();
+  CHECK(Test.Port.Called.size() == 2);
+  REQUIRE(Test.Port.Reports.size() == 2);
+  CHECK(Test.Port.Reports[1].Outcome == run_outcome::NotRun);
+  CHECK(Test.Port.Reports[1].Cause == run_cause::NoInstance);
+  CHECK(Test.Port.Reports[1].IsProven);
+}
+
+TEST_CASE("a gate whose process ends leaves no order without a report and "
+          "denies no run") {
+  fixture Test;
+  const auto First = Test.order(1, false);
+  const auto Second = Test.order(1, false);
+  const auto Queued = Test.order(1, false);
+  Test.Gate.endAll(Test.Now);
+  CHECK(Test.Gate.active() == 0);
+  CHECK(Test.Port.Called.size() == 2);
+  CHECK(Test.Port.Aborted.size() == 2);
+  REQUIRE(Test.Port.Reports.size() == 3);
+  for (const run_report &Report : Test.Port.Reports) {
+    const bool HasRun = Report.Attempt == First || Report.Attempt == Second;
+    CHECK((HasRun || Report.Attempt == Queued));
+    CHECK(Report.Outcome ==
+          (HasRun ? run_outcome::Unknown : run_outcome::NotRun));
+    CHECK(Report.IsProven == !HasRun);
+  }
+  Test.order();
+  CHECK(Test.Port.Called.size() == 2);
+  CHECK(Test.Port.Reports.back().Outcome == run_outcome::NotRun);
+}
