Links: bound what unknown, many and endless peers can hold

A node accepted any number of links, kept those that said nothing and buffered a message of up to 72 MiB for each, also before its hello.

Change: 64 KiB and 2 s before the hello, 64 links without one, 2,000 in all, 96 MiB of unfinished messages together. An exception in the handler of a link closes that link. test_message_limits now sends its large body on a link whose peer has said who it is, with the same checks.

--- a/modules/clementine_proxy/peers/peer_hub.cpp
+++ b/modules/clementine_proxy/peers/peer_hub.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace clementine::proxy {
 
 namespace asio = boost::asio;
@@ -79,20 +81,63 @@
   Acceptor.async_accept([this](const auto &Error, tcp::socket Socket) {
     if (IsStopped || Error == asio::error::operation_aborted)
       return;
-    if (Error) {
-      log().warning("failed to accept peer connection",
-                    {{"error", Error.message()}});
-    } else {
-      const std::uint64_t Number = NextLinkNumber++;
-      auto Link = std::make_shared<peer_link>(std::move(Socket), linkListener(),
-                                              Number);
-      Accepted.emplace(Number, Link);
-      Link->start();
-    }
     accept();
+    if (!Error && mayAccept())
+      return addAccepted(std::move(Socket));
+    if (!Error)
+      return log().warning("link not accepted: too many are open",
+                           {{"open", Accepted.size()}});
+    log().warning("failed to accept peer connection",
+                  {{"error", Error.message()}});
   });
 }
 
+bool peer_hub::mayAccept() const {
+  const auto IsUnknown = [](const auto &Each) { return !Each.second->Peer; };
+  return Accepted.size() < Settings.MaxAcceptedLinks &&
+         static_cast<std::size_t>(std::ranges::count_if(Accepted, IsUnknown)) <
+             Settings.MaxUnknownLinks;
+}
+
+void peer_hub::closeSilentLinks(instant Now) {
+  for (const auto &[Number, Link] : Accepted)
+    if (!Link->Peer && Now - Link->openedAt() > Settings.HelloTimeout)
+      Link->close();
+}
+
+void peer_hub::linkBufferChanged(std::size_t Before, std::size_t After) {
+  BufferedBytes = BufferedBytes + After - Before;
+  if (BufferedBytes <= Settings.MaxBufferedBytes || After < Before)
+    return;
+  const std::shared_ptr<peer_link> Largest = largestBuffer();
+  log().warning("link closed: unfinished messages exceed their limit",
+                {{"link", Largest->number()},
+                 {"peer", Largest->Peer ? Largest->Peer->Node : ""},
+                 {"bytes", Largest->bufferedBytes()}});
+  Largest->close();
+}
+
+std::shared_ptr<peer_link> peer_hub::largestBuffer() const {
+  std::shared_ptr<peer_link> Largest;
+  const auto Compare = [&](const std::shared_ptr<peer_link> &Link) {
+    if (Link && (!Largest || Link->bufferedBytes() > Largest->bufferedBytes()))
+      Largest = Link;
+  };
+  for (const auto &[Number, Link] : Accepted)
+    Compare(Link);
+  for (const auto &[Node, Entry] : Dialled)
+    Compare(Entry.Link);
+  return Largest;
+}
+
+void peer_hub::addAccepted(tcp::socket Socket) {
+  const std::uint64_t Number = NextLinkNumber++;
+  auto Link =
+      std::make_shared<peer_link>(std::move(Socket), linkListener(), Number);
+  Accepted.emplace(Number, Link);
+  Link->start();
+}
+
 bool peer_hub::open(const std::string &Node, const endpoint &Address) {
   if (IsStopped)
     return false;
@@ -295,12 +340,18 @@
 void peer_hub::tick() {
   if (IsStopped)
     return;
+  Timer.expires_after(TickInterval);
+  Timer.async_wait([this](const auto &Error) {
+    if (!Error)
+      tick();
+  });
   const instant Now = now();
   // Replies may be missing only because this process was suspended itself.
   if (Now - LastTick > ProcessPauseThreshold)
     for (auto &[Node, Entry] : Dialled)
       Entry.UnansweredSince.reset();
   LastTick = Now;
+  closeSilentLinks(Now);
   std::vector<std::string> Failed;
   for (auto &[Node, Entry] : Dialled) {
     if (!Entry.IsUp && (Entry.Connecting || Entry.Link) &&
@@ -322,11 +373,6 @@
     }
     handleLinkFailure(Node);
   }
-  Timer.expires_after(TickInterval);
-  Timer.async_wait([this](const auto &Error) {
-    if (!Error)
-      tick();
-  });
 }
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/peers/peer_hub.h
+++ b/modules/clementine_proxy/peers/peer_hub.h
@@ -24,6 +24,15 @@
   duration SuspectTimeout = std::chrono::milliseconds(300);
   /// A link is closed if nothing is received for this long after a probe.
   duration UnresponsiveTimeout = std::chrono::milliseconds(900);
+  /// An accepted link is closed if its hello has not arrived after this time.
+  duration HelloTimeout = std::chrono::milliseconds(2000);
+  /// The most accepted links whose hello has not arrived yet, and the most in
+  /// all; further ones are closed at once.
+  std::size_t MaxUnknownLinks = 64;
+  std::size_t MaxAcceptedLinks = 2000;
+  /// The most bytes of incomplete messages that all links hold together. Above
+  /// it the link that holds most is closed.
+  std::size_t MaxBufferedBytes = std::size_t{96} << 20U;
   /// Minimum delay before dialling an unreachable node again; not applied yet.
   duration RedialDelay = std::chrono::milliseconds(300);
 
@@ -114,9 +123,14 @@
   void linkMessage(const std::shared_ptr<peer_link> &Link,
                    peer_message Message) override;
   void linkClosed(const std::shared_ptr<peer_link> &Link) override;
+  void linkBufferChanged(std::size_t Before, std::size_t After) override;
   peer_link_listener &linkListener() { return *this; }
   void stopConnecting();
   void accept();
+  void addAccepted(boost::asio::ip::tcp::socket Socket);
+  bool mayAccept() const;
+  void closeSilentLinks(instant Now);
+  std::shared_ptr<peer_link> largestBuffer() const;
   void dial(const std::string &Node, dialled &Entry);
   void
   handleConnect(const std::string &Node, const boost::system::error_code &Error,
@@ -137,6 +151,8 @@
   std::map<std::uint64_t, std::string> DialledNodeByLink;
   std::map<std::uint64_t, std::shared_ptr<peer_link>> Accepted;
   std::uint64_t NextLinkNumber = 1;
+  /// The bytes of incomplete messages that all links hold.
+  std::size_t BufferedBytes = 0;
   instant LastTick;
   /// No more links are accepted or opened.
   bool IsStopped = false;
--- a/modules/clementine_proxy/peers/peer_link.cpp
+++ b/modules/clementine_proxy/peers/peer_link.cpp
@@ -1,11 +1,14 @@
 #include "clementine_proxy/peers/peer_link.h"
 
+#include "clementine_proxy/model/abandon_on_fault.h"
 #include "clementine_proxy/model/boot_clock.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <utility>
+
 #include <netinet/tcp.h>
 
 namespace clementine::proxy {
@@ -33,7 +36,7 @@
 peer_link::peer_link(asio::ip::tcp::socket Socket, peer_link_listener &Listener,
                      std::uint64_t Number)
     : Socket(std::move(Socket)), Listener(Listener), Number(Number),
-      LastReceivedAt(boot_clock().now()) {
+      OpenedAt(boot_clock().now()), LastReceivedAt(OpenedAt) {
   tunePeerSocket(this->Socket, TcpUserTimeoutMilliseconds);
 }
 
@@ -56,12 +59,19 @@
   if (!IsOpen)
     return;
   IsOpen = false;
+  setBufferedBytes(0);
   boost::system::error_code Ignored; // The socket is discarded either way.
   Socket.close(Ignored);
   asio::post(Socket.get_executor(),
              [Self = shared_from_this()] { Self->Listener.linkClosed(Self); });
 }
 
+void peer_link::setBufferedBytes(std::size_t Count) {
+  const std::size_t Before = std::exchange(BufferedBytes, Count);
+  if (Before != Count)
+    Listener.linkBufferChanged(Before, Count);
+}
+
 void peer_link::finishSending() {
   IsFinishing = true;
   if (IsOpen && Sending.empty())
@@ -81,7 +91,8 @@
       [Self = shared_from_this(), BufferedBytes](const auto &Error,
                                                  std::size_t Bytes) {
         Self->Input.resize(BufferedBytes + Bytes);
-        Self->readDone(Error, Bytes);
+        abandonOnFault([&] { Self->readDone(Error, Bytes); },
+                       [&] { Self->close(); });
       });
 }
 
@@ -96,7 +107,9 @@
   while (IsOpen) {
     peer_message Message;
     std::optional<microseconds> SentAt;
-    const frame_progress Progress = decodeFrame(Input, Offset, Message, SentAt);
+    const frame_progress Progress =
+        decodeFrame(Input, Offset, Message, SentAt,
+                    Peer ? MaxPeerMessageBytes : MaxFirstMessageBytes);
     if (Progress == frame_progress::Incomplete)
       break;
     if (Progress == frame_progress::Malformed)
@@ -109,6 +122,8 @@
   Input.erase(0, Offset);
   if (Input.empty())
     Input.shrink_to_fit();
+  if (IsOpen)
+    setBufferedBytes(Input.size());
   if (IsOpen)
     read();
 }
--- a/modules/clementine_proxy/peers/peer_link.h
+++ b/modules/clementine_proxy/peers/peer_link.h
@@ -20,6 +20,9 @@
 
   virtual void linkMessage(const std::shared_ptr<peer_link> &Link,
                            peer_message Message) = 0;
+  /// Called when the number of bytes that the link holds of an incomplete
+  /// message has changed. The link may be closed from within the call.
+  virtual void linkBufferChanged(std::size_t Before, std::size_t After) = 0;
   /// Called once when the link is closed; no further messages follow.
   virtual void linkClosed(const std::shared_ptr<peer_link> &Link) = 0;
 };
@@ -39,6 +42,9 @@
   /// unless they belong to a single message.
   static constexpr std::size_t MaxUnsentBytes = std::size_t{64} << 20U;
 
+  /// The largest message that is accepted before the peer's hello, in bytes.
+  static constexpr std::size_t MaxFirstMessageBytes = std::size_t{64} << 10U;
+
   /// @param Socket must be connected.
   /// @param Listener must outlive all use of the link on its executor.
   /// @param Number unique among the links of this process.
@@ -64,7 +70,10 @@
   std::uint64_t number() const { return Number; }
   /// @returns when bytes were last received.
   instant lastReceivedAt() const { return LastReceivedAt; }
+  instant openedAt() const { return OpenedAt; }
   bool isOpen() const { return IsOpen; }
+  /// @returns the bytes of an incomplete message that were received.
+  std::size_t bufferedBytes() const { return BufferedBytes; }
   /// @returns whether the peer's frames say when they were sent, as they do
   /// since the version that knows record_update.
   bool hasStampedFrames() const { return HasStampedFrames; }
@@ -73,6 +82,7 @@
   std::optional<node_record> Peer;
 
 private:
+  void setBufferedBytes(std::size_t Count);
   void read();
   void readDone(const boost::system::error_code &Error, std::size_t Bytes);
   void write();
@@ -82,8 +92,10 @@
   peer_link_listener &Listener;
   const std::uint64_t Number;
   std::string Input;
+  std::size_t BufferedBytes = 0;
   std::string Unsent;
   std::string Sending;
+  const instant OpenedAt;
   instant LastReceivedAt;
   transit_delay TransitDelay;
   bool HasStampedFrames = false;
--- a/modules/clementine_proxy/peers/peer_messages.cpp
+++ b/modules/clementine_proxy/peers/peer_messages.cpp
@@ -346,13 +346,14 @@
 
 frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
                            peer_message &Message,
-                           std::optional<std::chrono::microseconds> &SentAt) {
+                           std::optional<std::chrono::microseconds> &SentAt,
+                           std::size_t MaxBytes) {
   if (Buffer.size() - Offset < LengthBytes)
     return frame_progress::Incomplete;
   std::uint32_t Length = 0;
   std::memcpy(&Length, Buffer.data() + Offset, LengthBytes);
   Length = boost::endian::big_to_native(Length);
-  if (Length > MaxPeerMessageBytes)
+  if (Length > MaxBytes)
     return frame_progress::Malformed;
   if (Buffer.size() - Offset - LengthBytes < Length)
     return frame_progress::Incomplete;
--- a/modules/clementine_proxy/peers/peer_messages.h
+++ b/modules/clementine_proxy/peers/peer_messages.h
@@ -223,9 +223,12 @@
 /// Decodes the first frame of @p Buffer.
 /// @param Offset start of the undecoded bytes; advanced past a complete frame.
 /// @param SentAt set if the sender has said when it sent the message.
+/// @param MaxBytes the largest message; a larger one is malformed as soon as
+/// its length is known.
 frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
                            peer_message &Message,
-                           std::optional<std::chrono::microseconds> &SentAt);
+                           std::optional<std::chrono::microseconds> &SentAt,
+                           std::size_t MaxBytes = MaxPeerMessageBytes);
 
 /// As above, for callers that do not need the time of sending.
 frame_progress decodeFrame(const std::string &Buffer, std::size_t &Offset,
--- a/tests/proxy/test_message_limits.cpp
+++ b/tests/proxy/test_message_limits.cpp
@@ -84,6 +84,7 @@
                    peer_message Message) override {
     Received.push_back(std::move(Message));
   }
+  void linkBufferChanged(std::size_t, std::size_t) override {}
   void linkClosed(const std::shared_ptr<peer_link> &) override { ++Closed; }
 
   std::vector<peer_message> Received;
@@ -187,6 +188,7 @@
   auto To = std::make_shared<peer_link>(Acceptor.accept(), Listener, 2);
   From->start();
   To->start();
+  To->Peer.emplace(); // Large messages are accepted behind the peer's hello.
   request Request;
   Request.Method = "POST";
   Request.Target = "/t";
--- a/tests/proxy/test_transit_delay.cpp
+++ b/tests/proxy/test_transit_delay.cpp
@@ -26,6 +26,7 @@
                    peer_message Message) override {
     Messages.push_back(std::move(Message));
   }
+  void linkBufferChanged(std::size_t, std::size_t) override {}
   void linkClosed(const std::shared_ptr<peer_link> &) override {}
 
   std::vector<peer_message> Messages;
