Faults: an exception ends one request, message or run, never the process

Cause: an exception in a handler of the event loop or a task of the store was restarted five times a minute, then the process aborted; what belonged to the handler was left unread, unarmed or without an answer.

--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -152,7 +152,7 @@
     Report.Outcome = run_outcome::Unknown;
     Report.ReachedInstance = true;
   }
-  attemptEnded(Call, Report, Now);
+  isolate(Call, Now, [&] { attemptEnded(Call, Report, Now); });
 }
 
 void forwarder::closeAttempt(call &Call, const run_report &Report,
@@ -268,6 +268,17 @@
   Calls.erase(Call.Number);
 }
 
+void forwarder::abandon(call &Call, const char *Reason, instant Now) {
+  log().error("request ended by an exception",
+              {{"id", Call.RequestId}, {"reason", Reason}});
+  if (!Calls.contains(Call.Number))
+    return;
+  if (Call.Attempt)
+    Directory.recordAttemptEnd(Call.Attempt->Node, run_outcome::Unknown,
+                               run_cause::Cancelled, false, Now);
+  finish(Call, localResponse(Call, BadGateway, false), "fault", Now);
+}
+
 void forwarder::callerDisconnected(call_number Number, instant Now) {
   const auto Found = Calls.find(Number);
   if (Found == Calls.end())
@@ -290,15 +301,17 @@
   const auto Unanswered = Calls;
   for (const auto &[Number, Call] : Unanswered)
     if (!Call->Attempt || !Call->Attempt->IsCancelled)
-      cancelOrFail(Call, Now);
+      isolate(Call, Now, [&, &Each = Call] { cancelOrFail(Each, Now); });
 }
 
 void forwarder::answerAll(instant Now) {
   const auto Unanswered = Calls;
   for (const auto &[Number, Call] : Unanswered) {
-    if (Call->Attempt && Call->Attempt->IsSent && !Call->Attempt->IsCancelled)
-      cancelOrFail(Call, Now);
-    cancelOrFail(Call, Now);
+    isolate(Call, Now, [&, &Each = Call] {
+      if (Each->Attempt && Each->Attempt->IsSent && !Each->Attempt->IsCancelled)
+        cancelOrFail(Each, Now);
+      cancelOrFail(Each, Now);
+    });
   }
 }
 
@@ -306,10 +319,12 @@
   while (!Wakes.empty() && Wakes.begin()->first <= Now) {
     const call_pointer Call = Calls.at(Wakes.begin()->second);
     wakeAt(*Call, instant::max());
-    if (Call->Attempt || Now >= Call->TimeoutAt)
-      cancelOrFail(Call, Now);
-    else
-      tryNextGate(Call, Now);
+    isolate(Call, Now, [&] {
+      if (Call->Attempt || Now >= Call->TimeoutAt)
+        cancelOrFail(Call, Now);
+      else
+        tryNextGate(Call, Now);
+    });
   }
 }
 
--- a/modules/clementine_proxy/entry/forwarder.h
+++ b/modules/clementine_proxy/entry/forwarder.h
@@ -7,6 +7,7 @@
 #include "clementine_proxy/model/routing_config.h"
 #include "clementine_proxy/peers/peer_messages.h"
 
+#include <exception>
 #include <map>
 #include <memory>
 #include <optional>
@@ -155,7 +156,10 @@
   attempt_origin originOf(const attempt &Attempt) const;
   void attemptEnded(const call_pointer &Call, run_report &Report, instant Now);
   void closeAttempt(call &Call, const run_report &Report, instant Now);
+  void resumeAttempt(const call_pointer &Call, std::uint64_t Incarnation,
+                     instant Now);
   bool mayRetryElsewhere(call &Call, instant Now);
+  void retryElsewhere(const call_pointer &Call, instant Now);
   bool mayRetry(call &Call, const run_report &Report, instant Now);
   void cancelOrFail(const call_pointer &Call, instant Now);
   void finish(call &Call, response Response, std::string_view Verdict,
@@ -164,6 +168,18 @@
                          bool HasRetryAfter) const;
   void wakeAt(call &Call, instant Time);
   void erase(call &Call);
+  void abandon(call &Call, const char *Reason, instant Now);
+
+  /// Calls @p Work on one call. An exception ends that call only, as one that
+  /// may have run.
+  template <class Callback>
+  void isolate(const call_pointer &Call, instant Now, const Callback &Work) {
+    try {
+      Work();
+    } catch (const std::exception &Fault) {
+      abandon(*Call, Fault.what(), Now);
+    }
+  }
 
   const forwarder_settings Settings;
   const header_names &Names;
--- a/modules/clementine_proxy/entry/forwarder_links.cpp
+++ b/modules/clementine_proxy/entry/forwarder_links.cpp
@@ -14,21 +14,24 @@
   for (const auto &[Id, Call] : CallsByAttempt)
     if (Call->Attempt && Call->Attempt->Node == Node)
       Waiting.push_back(Call);
-  for (const call_pointer &Call : Waiting) {
-    attempt &Attempt = *Call->Attempt;
-    if (!Attempt.IsSent) {
-      Attempt.Incarnation = Incarnation;
-      sendAttempt(*Call, Now);
-    } else if (Attempt.Incarnation == Incarnation) {
-      Port.send(Node, run_query{Attempt.Id, originOf(Attempt)});
-    } else {
-      run_report Report;
-      Report.Outcome = run_outcome::Unknown;
-      Report.Cause = run_cause::LinkLost;
-      Report.ReachedInstance = true;
-      attemptEnded(Call, Report, Now);
-    }
+  for (const call_pointer &Call : Waiting)
+    isolate(Call, Now, [&] { resumeAttempt(Call, Incarnation, Now); });
+}
+
+void forwarder::resumeAttempt(const call_pointer &Call,
+                              std::uint64_t Incarnation, instant Now) {
+  attempt &Attempt = *Call->Attempt;
+  if (!Attempt.IsSent) {
+    Attempt.Incarnation = Incarnation;
+    return sendAttempt(*Call, Now);
   }
+  if (Attempt.Incarnation == Incarnation)
+    return Port.send(Attempt.Node, run_query{Attempt.Id, originOf(Attempt)});
+  run_report Report;
+  Report.Outcome = run_outcome::Unknown;
+  Report.Cause = run_cause::LinkLost;
+  Report.ReachedInstance = true;
+  attemptEnded(Call, Report, Now);
 }
 
 void forwarder::linkDown(const std::string &Node, bool WasUp, instant Now) {
@@ -40,7 +43,7 @@
   for (const call_pointer &Call : Unsent) {
     run_report Report;
     Report.Cause = run_cause::Unreachable;
-    attemptEnded(Call, Report, Now);
+    isolate(Call, Now, [&] { attemptEnded(Call, Report, Now); });
   }
   // The results of attempts already sent are queried on a new link, if one can
   // be opened.
@@ -56,17 +59,19 @@
     if (Call->Attempt && Call->Attempt->Node == Node && Call->Attempt->IsSent &&
         !Call->Attempt->IsCancelled && Call->Route->IsIdempotent)
       Waiting.push_back(Call);
-  for (const call_pointer &Call : Waiting) {
-    if (!mayRetryElsewhere(*Call, Now))
-      continue;
-    Port.send(Node, run_cancel{Call->Attempt->Id, true});
-    run_report Report;
-    Report.Outcome = run_outcome::Unknown;
-    Report.Cause = run_cause::LinkLost;
-    Report.ReachedInstance = true;
-    closeAttempt(*Call, Report, Now);
-    tryNextGate(Call, Now);
-  }
+  for (const call_pointer &Call : Waiting)
+    if (mayRetryElsewhere(*Call, Now))
+      isolate(Call, Now, [&] { retryElsewhere(Call, Now); });
+}
+
+void forwarder::retryElsewhere(const call_pointer &Call, instant Now) {
+  Port.send(Call->Attempt->Node, run_cancel{Call->Attempt->Id, true});
+  run_report Report;
+  Report.Outcome = run_outcome::Unknown;
+  Report.Cause = run_cause::LinkLost;
+  Report.ReachedInstance = true;
+  closeAttempt(*Call, Report, Now);
+  tryNextGate(Call, Now);
 }
 
 /// Whether a call may be retried at another gate while its current attempt may
--- a/modules/clementine_proxy/gate/instance_client.h
+++ b/modules/clementine_proxy/gate/instance_client.h
@@ -83,6 +83,8 @@
   void closeIdleWithRefusal();
   void ended(const std::shared_ptr<instance_connection> &Connection,
              instance_result Result, bool KeepsConnection);
+  /// @returns whether a run is in progress on @p Connection.
+  bool isBusy(const instance_connection &Connection) const;
   void bufferedBytesChanged(std::uint64_t Before, std::uint64_t After);
   /// Ends the run with the largest unfinished response if all of them together
   /// leave no room for another read.
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -237,6 +237,17 @@
   instanceEnded(Attempt, std::move(Result), Now);
 }
 
+void instance_gate::abandon(const attempt_id &Attempt, instant Now) {
+  const auto Found = Runs.find(Attempt);
+  if (Found == Runs.end())
+    return;
+  if (Found->second.IsRunning)
+    return abort(Attempt, run_cause::NoValidResponse, Now);
+  if (Admission)
+    Admission->cancel(Attempt);
+  refuse(Attempt, run_cause::NoInstance, Now);
+}
+
 void instance_gate::endAll(instant Now) {
   refuseFrom(Now);
   if (Admission && !Admission->isDraining())
--- a/modules/clementine_proxy/gate/instance_gate.h
+++ b/modules/clementine_proxy/gate/instance_gate.h
@@ -83,6 +83,11 @@
   /// refuses all queued runs if none is ready.
   void instanceChanged(instant Now);
 
+  /// Ends a run whose handling has failed: as one that may have run if it was
+  /// passed to the instance, as not run otherwise. Does nothing if it has
+  /// ended.
+  void abandon(const attempt_id &Attempt, instant Now);
+
   /// Refuses the orders that arrive at @p Time or later: the process ends
   /// before they could finish.
   void refuseFrom(instant Time) { RefusesFrom = Time; }
--- a/modules/clementine_proxy/http/http_listener.cpp
+++ b/modules/clementine_proxy/http/http_listener.cpp
@@ -60,8 +60,8 @@
       return;
     eraseExpired();
     if (!Error && Sessions.size() < MaxConnections) {
-      addSession(std::move(Socket));
-      return accept();
+      accept();
+      return addSession(std::move(Socket));
     }
     log().warning(
         "connection not accepted: accept error or connection limit reached",
--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -1,6 +1,7 @@
 #include "clementine_proxy/http/http_session.h"
 
 #include "clementine_proxy/http/lingering_close.h"
+#include "clementine_proxy/model/abandon_on_fault.h"
 #include "clementine_proxy/model/boot_clock.h"
 #include "clementine_proxy/model/message_limits.h"
 #include "clementine_telemetry/clementine_telemetry.h"
@@ -75,8 +76,8 @@
     Self->IsReading = false;
     if (std::exchange(Self->EndsAfterRead, false) && (Error || Self->IsEnding))
       return Self->closeGracefully();
-    Self->Input.append(Self->ReadBuffer.data(), Bytes);
-    Self->readDone(Error, Bytes);
+    abandonOnFault([&] { Self->readDone(Error, Bytes); },
+                   [&] { Self->disconnect(); });
   });
 }
 
@@ -86,6 +87,7 @@
     return;
   if (Error || Bytes == 0)
     return disconnect();
+  Input.append(ReadBuffer.data(), Bytes);
   parse();
   if (IsEnding)
     Input.clear();
@@ -152,7 +154,7 @@
                             response Response) {
   Exchange->OnDisconnect = nullptr;
   Exchange->Response = std::move(Response);
-  flush();
+  abandonOnFault([this] { flush(); }, [this] { disconnect(); });
 }
 
 void http_session::flush() {
@@ -178,7 +180,8 @@
       Socket, asio::buffer(Sending),
       [Self = shared_from_this()](const auto &Error, std::size_t /*Bytes*/) {
         Self->IsWriting = false;
-        Self->writeDone(Error);
+        abandonOnFault([&] { Self->writeDone(Error); },
+                       [&] { Self->disconnect(); });
       });
 }
 
@@ -288,7 +291,7 @@
     const auto Self = Session.lock();
     if (Error || !Self || Self->IsClosed)
       return;
-    Self->checkTimeouts();
+    abandonOnFault([&] { Self->checkTimeouts(); }, [&] { Self->disconnect(); });
     if (!Self->IsClosed)
       Self->scheduleTimeoutCheck();
   });
--- a/modules/clementine_proxy/node/caller_request_handler.cpp
+++ b/modules/clementine_proxy/node/caller_request_handler.cpp
@@ -8,14 +8,18 @@
 
 namespace {
 
+constexpr unsigned BadGateway = 502;
+
 instant now() { return boot_clock().now(); }
 
 } // namespace
 
 caller_request_handler::caller_request_handler(forwarder &Forwarder,
                                                metrics_registry &Metrics,
+                                               fault_guard &Faults,
                                                std::function<void()> Changed)
-    : Forwarder(Forwarder), Metrics(Metrics), Changed(std::move(Changed)),
+    : Forwarder(Forwarder), Metrics(Metrics), Faults(Faults),
+      Changed(std::move(Changed)),
       Latency(Metrics.latencyFor("clementine_request_seconds",
                                  "Time from a caller's request to its "
                                  "answer.")) {}
@@ -31,7 +35,8 @@
       .counterFor("clementine_answers_total", "Answers given to callers.",
                   {{"status", std::to_string(Response.Status)}})
       .add();
-  Pending.Respond(std::move(Response));
+  Faults.run("response", std::to_string(Call),
+             [&] { Pending.Respond(std::move(Response)); });
 }
 
 void caller_request_handler::handle(request Request, responder Respond,
@@ -43,7 +48,16 @@
     Forwarder.callerDisconnected(Call, now());
     Changed();
   };
-  Forwarder.begin(Call, std::move(Request), now());
+  const bool HasBegun = Faults.run("request", std::to_string(Call), [&] {
+    Forwarder.begin(Call, std::move(Request), now());
+  });
+  if (!HasBegun) {
+    Faults.run("request", std::to_string(Call),
+               [&] { Forwarder.callerDisconnected(Call, now()); });
+    response Response;
+    Response.Status = BadGateway;
+    answer(Call, std::move(Response));
+  }
   Changed();
 }
 
--- a/modules/clementine_proxy/node/decision_timer.cpp
+++ b/modules/clementine_proxy/node/decision_timer.cpp
@@ -1,5 +1,6 @@
 #include "clementine_proxy/node/decision_timer.h"
 
+#include "clementine_proxy/model/abandon_on_fault.h"
 #include "clementine_proxy/model/boot_clock.h"
 
 #include <algorithm>
@@ -20,7 +21,8 @@
     if (Error)
       return;
     WakeAt.reset();
-    runDue(boot_clock().now());
+    abandonOnFault([this] { runDue(boot_clock().now()); },
+                   [this] { schedule(); });
     schedule();
   });
 }
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -7,10 +7,11 @@
 #include "clementine_proxy/node/caller_request_handler.h"
 #include "clementine_proxy/node/component_settings.h"
 #include "clementine_proxy/node/config_exchange.h"
-#include "clementine_proxy/node/critical_task.h"
 #include "clementine_proxy/node/decision_timer.h"
+#include "clementine_proxy/node/fault_guard.h"
 #include "clementine_proxy/node/graceful_stop.h"
 #include "clementine_proxy/node/instance_report_handler.h"
+#include "clementine_proxy/node/lasting_task.h"
 #include "clementine_proxy/node/loop_calls.h"
 #include "clementine_proxy/node/node_status_publisher.h"
 #include "clementine_proxy/node/operator_endpoints.h"
@@ -54,18 +55,17 @@
         Gate({}, Registration, *this),
         Client(Loop, clientSettingsOf(Settings), Adapter.headers(),
                [this](const attempt_id &Attempt, instance_result Result) {
-                 Gate.instanceEnded(Attempt, std::move(Result), now());
-                 schedule();
+                 instanceEnded(Attempt, std::move(Result));
                }),
         Directory(directorySettingsOf(Settings), Random),
         Forwarder(forwarderSettingsOf(Settings, Incarnation), Adapter.headers(),
                   Directory, *this, Random),
         Peers(Loop, {}, Settings.PeerListen, *this),
         Decisions(Loop, Forwarder, Gate),
-        Housekeeping(Loop, Metrics, "housekeeping", HousekeepingInterval,
+        Housekeeping(Loop, Faults, "housekeeping", HousekeepingInterval,
                      [this] { runHousekeeping(); }),
         ConfigExchange(Forwarder, Peers),
-        CallerHandler(Forwarder, Metrics, [this] { schedule(); }),
+        CallerHandler(Forwarder, Metrics, Faults, [this] { schedule(); }),
         ReportHandler(Registration,
                       [this](bool IsNewRun) { instanceChanged(IsNewRun); }),
         Outbound(Loop, Settings.OutboundListen, CallerHandler,
@@ -84,7 +84,7 @@
             {Settings.Name, Settings.Zone, Directory, ConfigExchange,
              ReportHandler, Peers,
              [this](bool IsPrompt) { Store.readRecordsPromptly(IsPrompt); }}),
-        Store(Adapter, Loop, Settings.Name, Metrics, Records),
+        Store(Adapter, Loop, Settings.Name, Metrics, Faults, Records),
         StatusPublisher({Settings, Registration, Gate, Directory, Peers, Store},
                         Incarnation),
         Stop(Settings.StopGrace,
@@ -127,9 +127,11 @@
   static instant now() { return boot_clock().now(); }
 
   /// The loop starts first and stops last: the tasks of the store post to it.
+  /// An exception ends one handler; the loop continues with the next one.
   void addTasks() {
-    Root.add(makeCriticalTask(
-        "loop", [this](const auto &) { Loop.run(); }, [this] { Loop.stop(); }));
+    Root.add(makeLastingTask(
+        "loop", [this](const auto &) { Loop.run(); }, [this] { Loop.stop(); },
+        duration(0), Faults));
     Root.add(Store.tasks());
   }
 
@@ -195,7 +197,7 @@
   void peerRequestReceived(std::uint64_t Link, peer_message Message) override {
     const instant Now = now();
     if (auto *AttemptRequest = std::get_if<attempt_request>(&Message))
-      Gate.order(Link, std::move(*AttemptRequest), Now);
+      ordered(Link, std::move(*AttemptRequest));
     else if (const auto *Query = std::get_if<run_query>(&Message))
       Gate.query(Link, *Query, Now);
     else if (const auto *Cancel = std::get_if<run_cancel>(&Message))
@@ -209,6 +211,21 @@
     schedule();
   }
 
+  void ordered(std::uint64_t Link, attempt_request Order) {
+    const attempt_id Attempt = Order.Attempt;
+    if (!Faults.run("order", Attempt.text(),
+                    [&] { Gate.order(Link, std::move(Order), now()); }))
+      Gate.abandon(Attempt, now());
+  }
+
+  void instanceEnded(const attempt_id &Attempt, instance_result Result) {
+    if (!Faults.run("run", Attempt.text(), [&] {
+          Gate.instanceEnded(Attempt, std::move(Result), now());
+        }))
+      Gate.abandon(Attempt, now());
+    schedule();
+  }
+
   void processHello(const peer_hello &Hello) {
     Records.greeted(Hello);
     const known_gate *Gate = Directory.find(Hello.Self.Node);
@@ -306,6 +323,7 @@
   const std::uint64_t Incarnation = wallMilliseconds();
   seeded_random Random;
   metrics_registry Metrics;
+  fault_guard Faults{Metrics};
   asio::io_context Loop{1};
   asio::executor_work_guard<asio::io_context::executor_type> Work{
       Loop.get_executor()};
--- a/modules/clementine_proxy/node/repeating_timer.cpp
+++ b/modules/clementine_proxy/node/repeating_timer.cpp
@@ -1,28 +1,18 @@
 #include "clementine_proxy/node/repeating_timer.h"
 
-#include <exception>
 #include <utility>
 
 namespace clementine::proxy {
 
 repeating_timer::repeating_timer(boost::asio::io_context &Loop,
-                                 metrics_registry &Metrics, std::string Name,
+                                 fault_guard &Faults, std::string Name,
                                  duration Interval, std::function<void()> Work)
     : Name(std::move(Name)), Interval(Interval), Work(std::move(Work)),
-      Faults(Metrics.counterFor("clementine_timer_faults_total",
-                                "Runs of a timer that ended by an exception.",
-                                {{"timer", this->Name}})),
-      Timer(Loop) {}
+      Faults(Faults), Timer(Loop) {}
 
 void repeating_timer::run() {
   arm();
-  try {
-    Work();
-  } catch (const std::exception &Fault) {
-    Faults.add();
-    logger("node").error("run of a timer ended by an exception",
-                         {{"timer", Name}, {"reason", Fault.what()}});
-  }
+  Faults.run(Name, "", Work);
 }
 
 void repeating_timer::arm() {
--- a/modules/clementine_proxy/node/repeating_timer.h
+++ b/modules/clementine_proxy/node/repeating_timer.h
@@ -2,7 +2,7 @@
 #define CLEMENTINE_PROXY_NODE_REPEATING_TIMER_H
 
 #include "clementine_core/clementine_core.h"
-#include "clementine_telemetry/clementine_telemetry.h"
+#include "clementine_proxy/node/fault_guard.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,9 +17,9 @@
 /// next run follows after the interval.
 class repeating_timer {
 public:
-  /// @param Loop and @p Metrics have to outlive the timer.
+  /// @param Loop and @p Faults have to outlive the timer.
   /// @param Name for logs and metrics.
-  repeating_timer(boost::asio::io_context &Loop, metrics_registry &Metrics,
+  repeating_timer(boost::asio::io_context &Loop, fault_guard &Faults,
                   std::string Name, duration Interval,
                   std::function<void()> Work);
 
@@ -36,7 +36,7 @@
   const std::string Name;
   const duration Interval;
   const std::function<void()> Work;
-  counter &Faults;
+  fault_guard &Faults;
   boost::asio::steady_timer Timer;
 };
 
--- a/modules/clementine_proxy/node/store_synchronizer.cpp
+++ b/modules/clementine_proxy/node/store_synchronizer.cpp
@@ -1,6 +1,6 @@
 #include "clementine_proxy/node/store_synchronizer.h"
 
-#include "clementine_proxy/node/critical_task.h"
+#include "clementine_proxy/node/lasting_task.h"
 
 #include <boost/asio/post.hpp>
 
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// How long a task waits after an exception.
+constexpr std::chrono::milliseconds RestartDelay{1000};
+
 /// The publisher of the record notices the end of an outage within a second and
 /// wakes the watchers, so that these need not ask as often meanwhile.
 store_task_settings watcherSettings() {
@@ -39,8 +42,9 @@
                                        asio::io_context &Loop,
                                        const std::string &OwnNode,
                                        metrics_registry &Metrics,
+                                       fault_guard &Faults,
                                        store_listener &Listener)
-    : Adapter(Adapter), Loop(Loop), Listener(Listener),
+    : Adapter(Adapter), Loop(Loop), Faults(Faults), Listener(Listener),
       Connected(Metrics.gaugeFor("clementine_store_connected",
                                  "Whether the store can be followed.")),
       Config("config", Adapter.store(), Adapter.configKey(), watcherSettings(),
@@ -56,12 +60,12 @@
 std::shared_ptr<supervised> store_synchronizer::tasks() {
   auto Store = std::make_shared<supervisor>("store");
   for (prefix_watcher *Each : {&Config, &Records})
-    Store->add(makeCriticalTask(
+    Store->add(makeLastingTask(
         Each->name(), [Each](const auto &Stopping) { Each->run(Stopping); },
-        [Each] { Each->wake(); }));
-  Store->add(makeCriticalTask(
+        [Each] { Each->wake(); }, RestartDelay, Faults));
+  Store->add(makeLastingTask(
       "record", [this](const auto &Stopping) { Publisher.run(Stopping); },
-      [this] { Publisher.wake(); }));
+      [this] { Publisher.wake(); }, RestartDelay, Faults));
   return Store;
 }
 
@@ -83,7 +87,11 @@
 void store_synchronizer::readConfig(const platform_entry &Entry) {
   if (Entry.Key != Adapter.configKey())
     return;
-  auto Decoded = Adapter.decodeConfig(Entry.Value);
+  std::optional<result<routing_config, decode_error>> Attempted;
+  if (!Faults.run("store entry", Entry.Key,
+                  [&] { Attempted = Adapter.decodeConfig(Entry.Value); }))
+    return;
+  auto &Decoded = *Attempted;
   if (!Decoded) {
     Log.error(
         "configuration cannot be decoded",
@@ -117,8 +125,17 @@
           [](bool) {}, [this] { Publisher.renewNow(); }};
 }
 
+/// An entry that cannot be read, whatever the reason, leaves the others in
+/// force.
+std::optional<node_record>
+store_synchronizer::decodeRecord(const platform_entry &Entry) {
+  std::optional<node_record> Record;
+  Faults.run("store entry", Entry.Key, [&] { Record = readRecord(Entry); });
+  return Record;
+}
+
 std::optional<node_record>
-store_synchronizer::decodeRecord(const platform_entry &Entry) const {
+store_synchronizer::readRecord(const platform_entry &Entry) const {
   auto Record = node_record::decode(Entry.Value);
   if (!Record ||
       RecordPrefix.size() + Record->Node.size() != Entry.Key.size() ||
--- a/modules/clementine_proxy/node/store_synchronizer.h
+++ b/modules/clementine_proxy/node/store_synchronizer.h
@@ -2,6 +2,7 @@
 #define CLEMENTINE_PROXY_NODE_STORE_SYNCHRONIZER_H
 
 #include "clementine_proxy/node/deployment_adapter.h"
+#include "clementine_proxy/node/fault_guard.h"
 #include "clementine_proxy/node/store_tasks.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
@@ -40,11 +41,11 @@
   /// The prefix of the keys under which nodes publish their records.
   static constexpr std::string_view RecordPrefix = "clementinecove/nodes/";
 
-  /// @param Adapter, @p Loop, @p Metrics and @p Listener have to outlive this
-  /// object.
+  /// @param Adapter, @p Loop, @p Metrics, @p Faults and @p Listener have to
+  /// outlive this object.
   store_synchronizer(deployment_adapter &Adapter, boost::asio::io_context &Loop,
                      const std::string &OwnNode, metrics_registry &Metrics,
-                     store_listener &Listener);
+                     fault_guard &Faults, store_listener &Listener);
 
   store_synchronizer(const store_synchronizer &) = delete;
   store_synchronizer &operator=(const store_synchronizer &) = delete;
@@ -65,11 +66,13 @@
   prefix_watcher::listener configListener();
   prefix_watcher::listener recordListener();
   void readConfig(const platform_entry &Entry);
-  std::optional<node_record> decodeRecord(const platform_entry &Entry) const;
+  std::optional<node_record> decodeRecord(const platform_entry &Entry);
+  std::optional<node_record> readRecord(const platform_entry &Entry) const;
   void recordChanged(const platform_event &Event, store_era Era);
 
   deployment_adapter &Adapter;
   boost::asio::io_context &Loop;
+  fault_guard &Faults;
   store_listener &Listener;
   gauge &Connected;
   const logger Log{"store"};
--- a/tests/proxy/test_repeating_timer.cpp
+++ b/tests/proxy/test_repeating_timer.cpp
@@ -11,8 +11,9 @@
 TEST_CASE("a timer whose work throws neither ends the loop nor stays unarmed") {
   boost::asio::io_context Loop;
   metrics_registry Metrics;
+  fault_guard Faults(Metrics);
   int Runs = 0;
-  repeating_timer Timer(Loop, Metrics, "test", 5ms, [&Runs] {
+  repeating_timer Timer(Loop, Faults, "test", 5ms, [&Runs] {
     if (++Runs <= 3)
       throw std::runtime_error("fault");
   });
@@ -21,8 +22,7 @@
     CHECK_NOTHROW(Loop.run_for(10ms));
   CHECK(Runs >= 6);
   CHECK(Metrics.prometheusText().find(
-            "clementine_timer_faults_total{timer=\"test\"} 3") !=
-        std::string::npos);
+            "clementine_faults_total{place=\"test\"} 3") != std::string::npos);
   Timer.stop();
   Loop.run_for(20ms);
   const int RunsAtStop = Runs;
--- a/tests/users_platform/test_odd_input.cpp
+++ b/tests/users_platform/test_odd_input.cpp
@@ -146,7 +146,8 @@
   const auto Work = asio::make_work_guard(Loop);
   metrics_registry Metrics;
   recording_listener Listener;
-  store_synchronizer Store(*Adapter, Loop, "own", Metrics, Listener);
+  fault_guard Faults(Metrics);
+  store_synchronizer Store(*Adapter, Loop, "own", Metrics, Faults, Listener);
   const auto Tasks = Store.tasks();
   const auto AwaitOnLoop = [&](const auto &Condition) {
     for (int Step = 0; Step < 500 && !Condition(); ++Step) {
