Own interface: a stop lets responses be written; an exception ends one call

Callers of the product's own interface lost responses in a planned stop: the server closed its sockets as soon as each call had an answer, before the HTTP library had written it. An exception of a handler went through the C library and ended the process.

Change: http_server counts a request until its response is written; the node waits for that within its grace, the server's stop 1 s more. A handler that throws costs one response (500, for a call 504 and unknown).

--- a/modules/clementine_http/server/http_server.cpp
+++ b/modules/clementine_http/server/http_server.cpp
@@ -2,13 +2,18 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
+#include <exception>
 #include <system_error>
+#include <thread>
 #include <utility>
 
 #include <arpa/inet.h>
 #include <strings.h>
+#include <unistd.h>
 
 #include <ulfius.h>
 
@@ -17,6 +22,12 @@
 namespace {
 
 constexpr unsigned StatusTooLarge = 413;
+constexpr unsigned StatusInternalError = 500;
+constexpr std::chrono::milliseconds StopPollInterval{5};
+
+/// Whether the request on this thread's connection counts as in progress: each
+/// connection has a thread of its own.
+thread_local bool IsInProgress = false;
 
 header_map headersOf(const struct _u_map &Map) {
   header_map Headers;
@@ -85,7 +96,7 @@
     ulfius_set_default_endpoint(&Instance, &implementation::answer, this);
     std::array<MHD_OptionItem, 6> Options = {{
         {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
+         reinterpret_cast<intptr_t>(&implementation::completed), this},
         {MHD_OPTION_URI_LOG_CALLBACK,
          reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
         {MHD_OPTION_SOCK_ADDR, 0, &Address},
@@ -106,6 +117,19 @@
     }
   }
 
+  /// Accepts no more connections and lets the responses in progress end.
+  void finish(std::chrono::milliseconds Limit) {
+    IsFinishing = true;
+    const MHD_socket Listening = MHD_quiesce_daemon(Instance.mhd_daemon);
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    while (InProgress > 0 && std::chrono::steady_clock::now() < End)
+      std::this_thread::sleep_for(StopPollInterval);
+    if (Listening != MHD_INVALID_SOCKET)
+      ::close(Listening);
+  }
+
+  std::size_t inProgress() const { return InProgress; }
+
   ~implementation() {
     ulfius_stop_framework(&Instance);
     ulfius_clean_instance(&Instance);
@@ -122,15 +146,39 @@
 
   static int answer(const struct _u_request *Raw, struct _u_response *Response,
                     void *Self) {
-    const auto &Server = *static_cast<implementation *>(Self);
+    auto &Server = *static_cast<implementation *>(Self);
+    ++Server.InProgress;
+    IsInProgress = true;
+    if (Server.IsFinishing)
+      u_map_put(Response->map_header, "Connection", "close");
     if (Raw->binary_body_length > Server.LargestBody)
       write({StatusTooLarge, {}, "the body is too large\n"}, *Response);
     else
-      write(Server.Handler.handle(requestOf(*Raw)), *Response);
+      write(Server.handled(*Raw), *Response);
     return U_CALLBACK_COMPLETE;
   }
 
+  /// ulfius is a C library: an exception that passes through it ends the
+  /// process.
+  http_response handled(const struct _u_request &Raw) {
+    try {
+      return Handler.handle(requestOf(Raw));
+    } catch (const std::exception &) {
+      return {StatusInternalError, {}, "the request failed unexpectedly\n"};
+    }
+  }
+
+  /// Called when the response to a request is written or its connection ends.
+  static void completed(void *Self, struct MHD_Connection *Connection,
+                        void **Context, enum MHD_RequestTerminationCode Code) {
+    mhd_request_completed(nullptr, Connection, Context, Code);
+    if (std::exchange(IsInProgress, false))
+      --static_cast<implementation *>(Self)->InProgress;
+  }
+
   const std::size_t LargestBody;
+  std::atomic<std::size_t> InProgress{0};
+  std::atomic<bool> IsFinishing{false};
   http_handler &Handler;
   struct sockaddr_in Address;
   struct _u_instance Instance {};
@@ -146,6 +194,15 @@
   Implementation = std::make_unique<implementation>(Settings, Handler);
 }
 
-void http_server::stop() { Implementation.reset(); }
+void http_server::stop() {
+  if (!Implementation)
+    return;
+  Implementation->finish(Settings.StopLimit);
+  Implementation.reset();
+}
+
+std::size_t http_server::inProgress() const {
+  return Implementation->inProgress();
+}
 
 } // namespace clementine
--- a/modules/clementine_http/server/http_server.h
+++ b/modules/clementine_http/server/http_server.h
@@ -38,7 +38,8 @@
   std::string Body;
 };
 
-/// Handles requests. Called concurrently on many threads; may block.
+/// Handles requests. Called concurrently on many threads; may block. If it
+/// throws, the server responds with status 500.
 class http_handler {
 public:
   virtual ~http_handler() = default;
@@ -57,6 +58,8 @@
   std::size_t ConnectionMemory = std::size_t{8} << 10U;
   /// A connection that is idle for this long is closed.
   std::chrono::seconds IdleLimit{120};
+  /// How long a stop lets responses in progress be written.
+  std::chrono::milliseconds StopLimit{1000};
 };
 
 /// An HTTP server based on ulfius with one thread per connection.
@@ -79,9 +82,15 @@
   /// @throws std::system_error when the address cannot be bound.
   void start() override;
 
-  /// Closes all connections after waiting for the requests in a handler.
+  /// Accepts no more connections, waits for the requests in a handler and, at
+  /// most http_server_settings::StopLimit, until their responses are written,
+  /// then closes all connections.
   void stop() override;
 
+  /// @returns the number of requests that are in a handler or whose response is
+  /// not written yet. Called while the server runs.
+  std::size_t inProgress() const;
+
 private:
   class implementation;
 
--- a/modules/clementine_node/callers/caller_frontend.cpp
+++ b/modules/clementine_node/callers/caller_frontend.cpp
@@ -1,8 +1,11 @@
 #include "clementine_node/callers/caller_frontend.h"
 
+#include "clementine_telemetry/clementine_telemetry.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <exception>
 #include <string_view>
 #include <utility>
 
@@ -138,7 +141,7 @@
 
 http_response caller_frontend::handle(const http_request &Request) {
   if (Request.Path.starts_with(CallPrefix))
-    return call(Request);
+    return callOrUnknown(Request);
   if (Request.Path == "/upstream/announce")
     return announce(Request);
   if (Request.Path == "/upstream/drain")
@@ -147,6 +150,19 @@
       404, "unknown path; requests go to /call/SERVICE/OPERATION\n");
 }
 
+http_response caller_frontend::callOrUnknown(const http_request &Request) {
+  try {
+    return call(Request);
+  } catch (const std::exception &Fault) {
+    logger("frontend")
+        .error("call ended by an exception", {{"reason", Fault.what()}});
+    http_response Response =
+        plainTextResponse(504, "unknown: the call failed unexpectedly\n");
+    Response.Headers["Clementine-Outcome"] = OutcomeNames[2];
+    return Response;
+  }
+}
+
 http_response caller_frontend::call(const http_request &Request) {
   caller_request Call;
   if (!splitPath(Request.Path, Call.Service, Call.Operation))
@@ -189,9 +205,7 @@
     Sessions[Request.Call] = Session;
   }
   const call_id Call = Request.Call;
-  if (!Listener.callerRequested(std::move(Request))) {
-    const std::lock_guard Lock(Mutex);
-    Sessions.erase(Call);
+  if (!passOn(std::move(Request))) {
     Refusal.Reason = refusal::NodeBusy;
     return Refusal;
   }
@@ -207,6 +221,25 @@
   return Refusal;
 }
 
+/// @returns whether the listener accepted the request; its session is erased
+/// otherwise.
+bool caller_frontend::passOn(caller_request Request) {
+  const call_id Call = Request.Call;
+  const auto Erase = [&] {
+    const std::lock_guard Lock(Mutex);
+    Sessions.erase(Call);
+  };
+  try {
+    if (Listener.callerRequested(std::move(Request)))
+      return true;
+  } catch (...) {
+    Erase();
+    throw;
+  }
+  Erase();
+  return false;
+}
+
 void caller_frontend::answerCaller(caller_answer Answer) {
   std::shared_ptr<caller_session> Session;
   {
--- a/modules/clementine_node/callers/caller_frontend.h
+++ b/modules/clementine_node/callers/caller_frontend.h
@@ -67,10 +67,13 @@
     std::optional<caller_answer> Answer;
   };
 
+  /// As call(); an exception ends the call as one that may have run.
+  http_response callOrUnknown(const http_request &Request);
   http_response call(const http_request &Request);
   http_response announce(const http_request &Request);
   http_response drain(const http_request &Request);
   caller_answer submitAndWait(caller_request Request);
+  bool passOn(caller_request Request);
 
   frontend_listener &Listener;
   std::atomic<bool> IsRefusing{false};
--- a/modules/clementine_node/node/node.cpp
+++ b/modules/clementine_node/node/node.cpp
@@ -264,7 +264,7 @@
     while (Clock.now() < End) {
       const engine_statistics Statistics = Engine.statistics();
       if (Statistics.IsDraining && Statistics.ActiveRuns == 0 &&
-          Statistics.ActiveCalls == 0 && Frontend.waiting() == 0)
+          Statistics.ActiveCalls == 0 && Server.inProgress() == 0)
         return true;
       std::this_thread::sleep_for(StopPollInterval);
     }
--- a/tests/node/test_caller_frontend.cpp
+++ b/tests/node/test_caller_frontend.cpp
@@ -3,6 +3,8 @@
 
 #include "clementine_node/callers/caller_frontend.h"
 
+#include <stdexcept>
+
 using namespace clementine;
 
 namespace {
@@ -12,6 +14,8 @@
 public:
   bool callerRequested(caller_request Request) override {
     Last = Request;
+    if (Fails)
+      throw std::runtime_error("planted fault");
     if (IsBusy)
       return false;
     Frontend->answerCaller({Request.Call,
@@ -30,6 +34,7 @@
   caller_request Last;
   upstream_announcement Announced;
   bool IsBusy = false;
+  bool Fails = false;
   bool IsDraining = false;
 };
 
@@ -74,6 +79,18 @@
   CHECK(Listener.Last == caller_request{});
 }
 
+TEST_CASE_FIXTURE(frontend_fixture,
+                  "an exception ends one call as possibly run, and leaves none "
+                  "waiting") {
+  Listener.Fails = true;
+  const http_response Response = send("/call/desk/book", {});
+  CHECK(Response.Status == 504);
+  CHECK(Response.Headers.at("Clementine-Outcome") == "unknown");
+  CHECK(Frontend.waiting() == 0);
+  Listener.Fails = false;
+  CHECK(send("/call/desk/book", {}).Status == 200);
+}
+
 TEST_CASE_FIXTURE(
     frontend_fixture,
     "a busy node answers not-run only if no earlier send can have run") {
