Stand-in store: a waiting watch no longer polls in a busy loop

A watch whose prefix had no change behind its start, while other keys changed, asked again at once until its time was over: one busy thread for each watch that waits, and a lock that all calls of the store need.

--- a/extras/stand_in_users_platform/kv_store.cpp
+++ b/extras/stand_in_users_platform/kv_store.cpp
@@ -171,17 +171,24 @@
   const instant End = Time.now() + std::chrono::milliseconds(
                                        std::stoll(queryOf(Request, "wait_ms")));
   const std::uint64_t Begun = Era;
+  platform_revision Seen = After;
   while (true) {
     if (After < CompactedRevision || After > Store.revision())
       return jsonAnswer(json::object(), Gone);
     if (Stopping || Outage != outage::None || Era != Begun)
       return jsonAnswer(json::object(), Unavailable);
     const auto Batch =
-        Store.awaitEvents(queryOf(Request, "prefix"), After + 1, CheckInterval);
+        Store.awaitEvents(queryOf(Request, "prefix"), Seen + 1, CheckInterval);
     if (!Batch)
       return jsonAnswer(json::object(), Gone);
-    if ((Batch->Events.empty() || EventsHidden) && Time.now() < End)
+    if (EventsHidden && Time.now() < End) {
+      std::this_thread::sleep_for(CheckInterval);
       continue;
+    }
+    if (Batch->Events.empty() && Time.now() < End) {
+      Seen = std::max(Seen, Batch->Revision);
+      continue;
+    }
     json Events = json::array();
     for (const platform_event &Event : Batch->Events) {
       if (Event.Kind == platform_event::kind::Delete)
