--- a/modules/clementine_request/entry/entry_call.h
+++ b/modules/clementine_request/entry/entry_call.h
@@ -84,6 +84,12 @@
   refusal LastRefusal = refusal::None;
 };
 
+/// @returns whether both are the same process of one node.
+inline bool isSameRun(const node_identity &Left, const node_identity &Right) {
+  return Left.Name == Right.Name && incarnationAtStart(Left.Incarnation) ==
+                                        incarnationAtStart(Right.Incarnation);
+}
+
 } // namespace clementine
 
 #endif
