Stop: an action that throws on the event loop does not block its waiter

runOnLoop waited for a promise that an exception of its action left unset; the stop of a node would then have been killed at the end of its grace. It is set either way now. test_contained_faults failed before and passes.

--- a/modules/clementine_proxy/gate/instance_gate.h
+++ b/modules/clementine_proxy/gate/instance_gate.h
@@ -120,6 +120,7 @@
   void applyActions(const gate_actions &Actions, instant Now);
   void start(const attempt_id &Attempt, instant Now);
   void refuse(const attempt_id &Attempt, run_cause Cause, instant Now);
+  /// Ends a run at the instance and reports it as one that may have run.
   void abort(const attempt_id &Attempt, run_cause Cause, instant Now);
   void finish(const attempt_id &Attempt, instance_result Result, instant Now);
   bool reportEnded(std::uint64_t Link, const attempt_id &Attempt, instant Now);
--- a/modules/clementine_proxy/node/loop_calls.h
+++ b/modules/clementine_proxy/node/loop_calls.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINE_PROXY_NODE_LOOP_CALLS_H
 #define CLEMENTINE_PROXY_NODE_LOOP_CALLS_H
 
+#include "clementine_proxy/model/abandon_on_fault.h"
 #include "clementine_proxy/model/boot_clock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,12 +15,13 @@
 /// How often awaitOnLoop() checks its condition.
 constexpr std::chrono::milliseconds LoopPollInterval{20};
 
-/// Calls @p Action on the thread that runs @p Loop and waits for its end.
+/// Calls @p Action on the thread that runs @p Loop and waits for its end, also
+/// if it ends by an exception, which goes to the runner of the loop.
 template <class Callback>
 void runOnLoop(boost::asio::io_context &Loop, const Callback &Action) {
   std::promise<void> Done;
   boost::asio::post(Loop, [&] {
-    Action();
+    abandonOnFault(Action, [&] { Done.set_value(); });
     Done.set_value();
   });
   Done.get_future().wait();
--- a/tests/proxy/test_contained_faults.cpp
+++ b/tests/proxy/test_contained_faults.cpp
@@ -1,10 +1,12 @@
 #include "clementine_proxy/clementine_proxy.h"
 #include "clementine_proxy/node/decision_timer.h"
 #include "clementine_proxy/node/lasting_task.h"
+#include "clementine_proxy/node/loop_calls.h"
 #include "clementine_proxy/peers/peer_hub.h"
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
@@ -269,6 +271,25 @@
   CHECK(Test.Port.Reports[1].Outcome == run_outcome::NotRun);
 }
 
+TEST_CASE(
+    "an action that throws on the event loop does not block the stop that "
+    "waits for it") {
+  asio::io_context Loop;
+  const auto Work = asio::make_work_guard(Loop);
+  std::atomic<int> Ended = 0;
+  std::thread Stop([&] {
+    runOnLoop(Loop, [] { throw std::runtime_error("planted fault"); });
+    ++Ended;
+    runOnLoop(Loop, [] {});
+    ++Ended;
+  });
+  CHECK(runUntil(Loop, [&] { return Ended == 2; }));
+  if (Ended == 2)
+    Stop.join();
+  else
+    Stop.detach();
+}
+
 TEST_CASE("an exception in a due decision leaves the timer armed") {
   engine Test;
   asio::io_context Loop;
