--- a/extras/stand_in_process/child_process.cpp
+++ b/extras/stand_in_process/child_process.cpp
@@ -1,6 +1,9 @@
 #include "stand_in_process/child_process.h"
 
+#include <array>
+#include <cerrno>
 #include <chrono>
+#include <system_error>
 #include <thread>
 
 #include <csignal>
@@ -20,9 +23,20 @@
   for (std::string &Argument : Arguments)
     Raw.push_back(Argument.data());
   Raw.push_back(nullptr);
+  // Until it has called exec, the child holds copies of this process's sockets,
+  // so that the address of a server which is closed meanwhile stays in use.
+  std::array<int, 2> Started{};
+  if (pipe2(Started.data(), O_CLOEXEC) != 0)
+    throw std::system_error(errno, std::generic_category(), "pipe2");
   Id = fork();
-  if (Id != 0)
+  if (Id != 0) {
+    close(Started[1]);
+    char Byte = 0;
+    while (read(Started[0], &Byte, 1) < 0 && errno == EINTR)
+      continue;
+    close(Started[0]);
     return;
+  }
   // The child is killed when the thread that started it ends, even if that
   // thread is killed.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
