Store: a connection gone silent is given up after 2 s, and its idle neighbours with it

Cause: a waiting watch noticed it only after 5 s (keep-alive probes from 2 s on, three of them); a node may be late for 3 s. Change: one probe after 1 s without data, 1 s for its acknowledgement; after a call without an answer no idle connection is used again, so that the listing that follows does not wait on another silent one. Test: a configuration that is confirmed while every connection to the store is silent is in force within the settle window. The stand-in proxy now also leaves keep-alive probes unacknowledged.

--- a/extras/stand_in_users_platform/fault_proxy.cpp
+++ b/extras/stand_in_users_platform/fault_proxy.cpp
@@ -10,9 +10,13 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 namespace clementine::stand_in {
 
 namespace asio = boost::asio;
@@ -36,6 +40,18 @@
   Socket.close(Ignored);
 }
 
+/// Drops all that arrives at a socket before the kernel acknowledges it, so
+/// that the peer's keep-alive probes get no answer either.
+void dropReceivedSegments(tcp::socket &Socket) {
+  if (!Socket.is_open())
+    return;
+  sock_filter DropAll{BPF_RET | BPF_K, 0, 0, 0};
+  const sock_fprog Program{1, &DropAll};
+  if (::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER,
+                   &Program, sizeof(Program)) != 0)
+    throw std::logic_error("stand-in proxy cannot silence a connection");
+}
+
 using fault = fault_proxy::fault;
 
 /// A connection from a client and the matching one to the target.
@@ -67,7 +83,11 @@
     abortSocket(FromTarget.Source);
   }
 
-  void blackhole() { IsBlackholed = true; }
+  void blackhole() {
+    IsBlackholed = true;
+    for (direction *Each : {&ToTarget, &FromTarget})
+      dropReceivedSegments(Each->Source);
+  }
   bool isClosed() const { return IsClosed; }
 
 private:
--- a/extras/stand_in_users_platform/fault_proxy.h
+++ b/extras/stand_in_users_platform/fault_proxy.h
@@ -42,8 +42,8 @@
   void set(fault Kind);
   /// Resets all open connections.
   void reset();
-  /// Holds back all bytes of the open connections permanently; new connections
-  /// work.
+  /// Makes the open connections silent for good, without a reset: nothing is
+  /// forwarded or acknowledged any more. New connections work.
   void blackholeOpen();
 
 private:
--- a/modules/clementine_platform/etcd/http_channel.cpp
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -28,10 +28,12 @@
 constexpr long HttpOk = 200;
 
 /// A dead connection is detected after KeepaliveIdleSeconds without data and
-/// KeepaliveProbes unanswered probes, KeepaliveIntervalSeconds apart.
-constexpr long KeepaliveIdleSeconds = 2;
+/// KeepaliveProbes unanswered probes, KeepaliveIntervalSeconds apart. A change
+/// that was confirmed meanwhile has to be in force within 3 s, and a connection
+/// that was given up in vain costs one call.
+constexpr long KeepaliveIdleSeconds = 1;
 constexpr long KeepaliveIntervalSeconds = 1;
-constexpr int KeepaliveProbes = 3;
+constexpr int KeepaliveProbes = 1;
 
 void initializeLibrary() {
   // curl_global_init() is not thread-safe; a static variable is initialized
@@ -343,7 +345,7 @@
                           platform_effect::NotApplied, 0, ""};
   auto Handle = acquireHandle();
   auto Answer = Handle->post(BaseUrl + Path, Body);
-  releaseHandle(std::move(Handle));
+  releaseHandle(std::move(Handle), Answer.has_value());
   return Answer;
 }
 
@@ -352,7 +354,7 @@
                   const std::atomic<bool> *Stopping) {
   auto Handle = acquireHandle();
   auto Answer = Handle->get(BaseUrl + Path, CallTimeout, Stopping);
-  releaseHandle(std::move(Handle));
+  releaseHandle(std::move(Handle), Answer.has_value());
   if (!Answer) {
     // A read does not change stored data.
     platform_error Error = Answer.error();
@@ -366,7 +368,7 @@
 http_channel::remove(const std::string &Path) {
   auto Handle = acquireHandle();
   auto Answer = Handle->remove(BaseUrl + Path);
-  releaseHandle(std::move(Handle));
+  releaseHandle(std::move(Handle), Answer.has_value());
   return Answer;
 }
 
@@ -388,9 +390,13 @@
   return Handle;
 }
 
-void http_channel::releaseHandle(std::unique_ptr<handle> Handle) {
+void http_channel::releaseHandle(std::unique_ptr<handle> Handle,
+                                 bool IsAnswered) {
+  std::vector<std::unique_ptr<handle>> Dropped;
   const std::lock_guard Lock(Mutex);
-  if (Idle.size() < MaxIdleConnections)
+  if (!IsAnswered)
+    Dropped.swap(Idle);
+  else if (Idle.size() < MaxIdleConnections)
     Idle.push_back(std::move(Handle));
 }
 
--- a/modules/clementine_platform/etcd/http_channel.h
+++ b/modules/clementine_platform/etcd/http_channel.h
@@ -89,7 +89,9 @@
   class handle;
 
   std::unique_ptr<handle> acquireHandle();
-  void releaseHandle(std::unique_ptr<handle> Handle);
+  /// @param IsAnswered whether its last call was answered. If not, it and all
+  /// idle handles are discarded: their connections may be dead as well.
+  void releaseHandle(std::unique_ptr<handle> Handle, bool IsAnswered);
 
   const std::string BaseUrl;
   const limits Limits;
