Gate: no more requests per second than the instance names

Cause: the limit in the instance's answers was not read; a gate knew slots only. Class: a statement of the upstream that is passed on and not heeded. Change: the gate of an instance, through which all of its requests go, spaces out its starts; what waits keeps its rank, and what would wait over 0.5 s is refused as not run, so that its entry takes another instance. A gate's status names the slots that the limit leaves in use, so that entries prefer others. A new process starts at most four runs before its instance's first answer: it does not know what the former one was told.

--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -74,7 +74,20 @@
   Server.reset();
 }
 
+void app_instance::nameLimit(std::optional<double> PerSecond) {
+  const std::lock_guard Lock(Mutex);
+  NamedLimit = PerSecond;
+}
+
 http_answer app_instance::handle(const http_request &Request) {
+  http_answer Answer = answerTo(Request);
+  const std::lock_guard Lock(Mutex);
+  if (NamedLimit)
+    Answer.Headers.emplace_back("Server-Limit", std::to_string(*NamedLimit));
+  return Answer;
+}
+
+http_answer app_instance::answerTo(const http_request &Request) {
   const std::string Id = Request.header("X-Request-Id");
   http_answer Answer;
   const std::string Expected = Request.header("X-Expected-Instance");
--- a/extras/stand_in_users_platform/app_instance.h
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -89,11 +90,16 @@
   /// Sets how long the runs that begin from now on take.
   void setServiceTime(std::chrono::milliseconds Time) { ServiceTime = Time; }
 
+  /// Names a limit in requests per second in all its responses, or none any
+  /// more.
+  void nameLimit(std::optional<double> PerSecond);
+
   /// Cuts off the responses to the next @p Count runs.
   void loseAnswers(int Count) { LostAnswers = Count; }
 
 private:
   http_answer handle(const http_request &Request);
+  http_answer answerTo(const http_request &Request);
   bool makeSubCalls(const http_request &Request);
   bool report();
   bool report(const char *State, std::uint64_t Number);
@@ -109,7 +115,9 @@
   std::atomic<std::uint64_t> Sequence{0};
   std::atomic<std::uint64_t> LastCall{0};
   http_client Client;
+  /// Guards NamedLimit and Stopping.
   std::mutex Mutex;
+  std::optional<double> NamedLimit;
   std::condition_variable Changed;
   bool Stopping = false;
   std::unique_ptr<http_server> Server;
--- a/modules/clementine_admission/clementine_admission.h
+++ b/modules/clementine_admission/clementine_admission.h
@@ -17,6 +17,8 @@
 #include "clementine_admission/gate/ticket_queue.h"
 #include "clementine_admission/limits/adaptive_limiter.h"
 #include "clementine_admission/limits/concurrency_limiter.h"
+#include "clementine_admission/limits/first_answer_limiter.h"
+#include "clementine_admission/limits/start_rate.h"
 #include "clementine_admission/limits/static_limiter.h"
 #include "clementine_admission/limits/unlimited.h"
 
--- a/modules/clementine_admission/gate/admission_gate.cpp
+++ b/modules/clementine_admission/gate/admission_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -26,7 +27,7 @@
     return refuse(Ticket, refusal_reason::DeadlineTooClose, Now);
   if (isBelowLevel(Ticket.Importance))
     return refuse(Ticket, refusal_reason::BelowLevel, Now);
-  if (!Queue.empty() || Running.size() >= Limiter->limit())
+  if (!Queue.empty() || !mayStart(Now))
     return enqueue(Ticket, Now);
   start(Ticket, Now);
   return {offer_verdict::Admitted, {}, level(), {}};
@@ -53,9 +54,9 @@
 
   gate_actions Actions;
   startWaiting(Actions, Now);
-  if (hasSpareCapacity())
+  if (hasSpareCapacity(Now))
     MostImportantRefused.reset();
-  Tracker.onEnd(hasSpareCapacity(), Now);
+  Tracker.onEnd(hasSpareCapacity(Now), Now);
   return Actions;
 }
 
@@ -69,6 +70,7 @@
 gate_actions admission_gate::expire(instant Now) {
   gate_actions Actions;
   refuseUnmeetableDeadlines(Actions, Now);
+  startWaiting(Actions, Now);
   return Actions;
 }
 
@@ -81,11 +83,15 @@
 }
 
 std::optional<instant> admission_gate::nextWake() const {
+  std::optional<instant> Next;
+  if (!Queue.empty() && StartRate.limit() && Running.size() < Limiter->limit())
+    Next = StartRate.nextStart();
   const std::optional<instant> Deadline = Queue.earliestDeadline();
   if (!Deadline || !Settings.EnforcesDeadlines)
-    return std::nullopt;
+    return Next;
   // expire() refuses tickets whose deadline is strictly before its bound.
-  return *Deadline - requiredTime() + duration(1);
+  const instant Due = *Deadline - requiredTime() + duration(1);
+  return Next ? std::min(*Next, Due) : Due;
 }
 
 offer_decision admission_gate::refuse(const admission_ticket &Ticket,
@@ -124,11 +130,12 @@
 
 void admission_gate::start(const admission_ticket &Ticket, instant Now) {
   Tracker.onStart(Now);
+  StartRate.recordStart(Now);
   Running.emplace(Ticket.RequestId, running_attempt{Now, Running.size() + 1});
 }
 
 void admission_gate::startWaiting(gate_actions &Actions, instant Now) {
-  while (!Queue.empty() && Running.size() < Limiter->limit()) {
+  while (!Queue.empty() && mayStart(Now)) {
     const admission_ticket Ticket = Queue.takeFirst();
     if (!canMeetDeadline(Ticket, 0, Now)) {
       Actions.Refused.push_back({Ticket, refusal_reason::DeadlineTooClose});
@@ -154,8 +161,22 @@
   MostImportantRefused = Refused;
 }
 
-bool admission_gate::hasSpareCapacity() const {
-  return Queue.empty() && Running.size() < Limiter->limit();
+bool admission_gate::mayStart(instant Now) const {
+  return Running.size() < Limiter->limit() && StartRate.mayStart(Now);
+}
+
+bool admission_gate::hasSpareCapacity(instant Now) const {
+  return Queue.empty() && mayStart(Now);
+}
+
+std::size_t admission_gate::usableSlots() const {
+  if (!StartRate.limit())
+    return Limiter->limit();
+  const double MeanSeconds =
+      std::chrono::duration<double>(ServiceTime.mean()).count();
+  const double Busy = std::min(*StartRate.limit() * MeanSeconds,
+                               static_cast<double>(Limiter->limit()));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(Busy)));
 }
 
 bool admission_gate::isBelowLevel(importance Importance) const {
@@ -168,13 +189,15 @@
     return true;
   // While nothing runs, the mean service time may be out of date and no
   // completion would correct it, so only the deadline itself is checked.
+  const duration WaitForStart = StartRate.waitBehind(Before, Now);
   if (Running.empty())
-    return Now < Ticket.Deadline;
+    return Now + WaitForStart < Ticket.Deadline;
   const double Rounds =
       static_cast<double>(Before) / static_cast<double>(Limiter->limit());
-  const auto Wait = static_cast<duration::rep>(
-      Rounds * static_cast<double>(ServiceTime.mean().count()));
-  return Now + duration(Wait) + requiredTime() <= Ticket.Deadline &&
+  const duration WaitForSlot(static_cast<duration::rep>(
+      Rounds * static_cast<double>(ServiceTime.mean().count())));
+  const duration Wait = std::max(WaitForSlot, WaitForStart);
+  return Now + Wait + requiredTime() <= Ticket.Deadline &&
          Now < Ticket.Deadline;
 }
 
@@ -185,8 +208,13 @@
 }
 
 std::size_t admission_gate::queueCapacity() const {
-  const double TargetCapacity =
+  double TargetCapacity =
       Settings.QueuedPerSlot * static_cast<double>(Limiter->limit());
+  if (StartRate.limit())
+    TargetCapacity = std::min(
+        TargetCapacity,
+        *StartRate.limit() *
+            std::chrono::duration<double>(Settings.MaxWaitForStart).count());
   constexpr double MaximumCapacity = std::numeric_limits<std::uint32_t>::max();
   return std::max(
       Settings.MinimumQueueLength,
--- a/modules/clementine_admission/gate/admission_gate.h
+++ b/modules/clementine_admission/gate/admission_gate.h
@@ -6,6 +6,7 @@
 #include "clementine_admission/gate/service_time.h"
 #include "clementine_admission/gate/ticket_queue.h"
 #include "clementine_admission/limits/concurrency_limiter.h"
+#include "clementine_admission/limits/start_rate.h"
 
 #include <compare>
 #include <cstddef>
@@ -22,6 +23,9 @@
   double QueuedPerSlot = 1.0;
   /// The minimum capacity of the queue, for upstreams with few slots.
   std::size_t MinimumQueueLength = 4;
+  /// While the starts are limited, no more tickets wait than can start in this
+  /// time, but always MinimumQueueLength.
+  duration MaxWaitForStart = std::chrono::milliseconds(500);
   /// A ticket is refused when less than this many mean service times are left
   /// before its deadline.
   double ServiceTimesNeeded = 1.0;
@@ -81,8 +85,14 @@
   /// left alone.
   cancel_result cancel(const request_id &RequestId);
 
+  /// Sets how many tickets may start per second; std::nullopt removes the
+  /// limit. Queued tickets start at the next expire() or complete().
+  void limitStarts(std::optional<double> PerSecond, instant Now) {
+    StartRate.limit(PerSecond, Now);
+  }
+
   /// Refuses queued tickets that can no longer be answered before their
-  /// deadlines.
+  /// deadlines, and starts those whose turn has come.
   /// @see nextWake
   gate_actions expire(instant Now);
 
@@ -91,7 +101,7 @@
   gate_actions drain(instant Now);
 
   /// @returns when expire() next has something to do, or nullopt if nothing is
-  /// queued or deadlines are not enforced.
+  /// queued, or deadlines are not enforced and starts are not limited.
   std::optional<instant> nextWake() const;
 
   /// @returns the level to send back with answers.
@@ -101,6 +111,9 @@
   std::size_t running() const { return Running.size(); }
   std::size_t queued() const { return Queue.size(); }
   std::size_t limit() const { return Limiter->limit(); }
+  /// @returns how many tickets can be running: the limit, or fewer if the
+  /// starts are limited.
+  std::size_t usableSlots() const;
   /// @returns the mean time from start to answer, sub-calls included.
   duration meanServiceTime() const { return ServiceTime.mean(); }
 
@@ -117,7 +130,8 @@
   void startWaiting(gate_actions &Actions, instant Now);
   void refuseUnmeetableDeadlines(gate_actions &Actions, instant Now);
   void recordLoadRefusal(importance Refused);
-  bool hasSpareCapacity() const;
+  bool mayStart(instant Now) const;
+  bool hasSpareCapacity(instant Now) const;
   bool isBelowLevel(importance Importance) const;
   bool canMeetDeadline(const admission_ticket &Ticket, std::size_t Before,
                        instant Now) const;
@@ -128,6 +142,7 @@
   const std::unique_ptr<concurrency_limiter> Limiter;
   std::unordered_map<request_id, running_attempt, request_id_hash> Running;
   ticket_queue Queue;
+  start_rate StartRate;
   service_time ServiceTime;
   level_tracker Tracker;
   /// The highest importance refused for load since there was last spare
--- a/modules/clementine_proxy/clementine_proxy.h
+++ b/modules/clementine_proxy/clementine_proxy.h
@@ -13,6 +13,7 @@
 #include "clementine_proxy/entry/service_retry_budget.h"
 #include "clementine_proxy/gate/instance_client.h"
 #include "clementine_proxy/gate/instance_gate.h"
+#include "clementine_proxy/gate/instance_notice.h"
 #include "clementine_proxy/gate/instance_registration.h"
 #include "clementine_proxy/http/header_names.h"
 #include "clementine_proxy/http/http_listener.h"
--- a/modules/clementine_proxy/gate/instance_connection.cpp
+++ b/modules/clementine_proxy/gate/instance_connection.cpp
@@ -187,6 +187,7 @@
   const auto KeepAliveTime = keepAliveOf(Answer);
   UsableUntil = now() + KeepAliveTime.value_or(Client.Settings.KeepAlive) -
                 Client.Settings.KeepAliveMargin;
+  Notice = noticeOf(Answer, Client.Names);
   if (findHeader(Answer.Headers, Client.Names.NotExecuted))
     return end(run_outcome::NotRun, run_cause::Rejected);
   const bool IsSuccess = Answer.Status >= FirstSuccessStatus &&
@@ -205,7 +206,8 @@
     return end(run_outcome::Unknown, run_cause::NoValidResponse);
   }
   removeConnectionHeaders(Answer.Headers);
-  finish({run_outcome::Completed, run_cause::None, true, std::move(Answer)});
+  finish({run_outcome::Completed, run_cause::None, true, std::move(Answer),
+          std::exchange(Notice, std::nullopt)});
 }
 
 void instance_connection::end(run_outcome Outcome, run_cause Cause) {
@@ -219,7 +221,7 @@
     KeepsConnection = false;
   if (Outcome == run_outcome::NotRun && Cause == run_cause::TooLate)
     KeepsConnection = IsReused;
-  finish({Outcome, Cause, WasSent, {}});
+  finish({Outcome, Cause, WasSent, {}, std::exchange(Notice, std::nullopt)});
 }
 
 void instance_connection::abandon() {
--- a/modules/clementine_proxy/gate/instance_connection.h
+++ b/modules/clementine_proxy/gate/instance_connection.h
@@ -83,6 +83,8 @@
   std::optional<response_reader> Reader;
   std::uint64_t BufferedBytes = 0;
   std::size_t ForeignResponses = 0;
+  /// What the response to the call says about the instance.
+  std::optional<instance_notice> Notice;
   instant UsableUntil;
   instant IdleSince;
   bool IsReused = false;
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -40,6 +40,8 @@
   case run_outcome::Completed:
     return {work_outcome::Completed, {}};
   case run_outcome::NotRun:
+    if (!Result.ReachedInstance)
+      break;
     return {work_outcome::Shed, {}};
   case run_outcome::Unknown:
     break;
@@ -119,6 +121,8 @@
   active_run &Run = Found->second;
   Run.IsRunning = true;
   Run.StartedAt = Now;
+  if (const auto &Current = Registration.current())
+    Run.Instance = {Current->Instance, Current->StartedAt};
   Port.callInstance({Attempt, Instance, Run.AttemptRequest.IsIdempotent,
                      Run.Deadline, std::move(Run.AttemptRequest.Request)});
 }
@@ -263,6 +267,8 @@
                                   instance_result Result, instant Now) {
   if (Result.Cause == run_cause::Unreachable)
     UnreachableUntil = Now + Settings.UnreachableBackoff;
+  if (Result.Notice)
+    applyNotice(Attempt, *Result.Notice, Now);
   gate_actions Next;
   if (Admission)
     Next = Admission->complete(Attempt, workOf(Result), Now);
@@ -270,6 +276,39 @@
   applyActions(Next, Now);
 }
 
+/// A response may arrive after the next run of the instance has registered: it
+/// says nothing about that one.
+void instance_gate::applyNotice(const attempt_id &Attempt,
+                                const instance_notice &Notice, instant Now) {
+  const auto Found = Runs.find(Attempt);
+  const auto &Current = Registration.current();
+  if (Found == Runs.end() || !Current)
+    return;
+  const instance_run Run = Found->second.Instance;
+  if (Run != instance_run{Current->Instance, Current->StartedAt})
+    return;
+  limitStarts(Notice.StartsPerSecond, Now);
+}
+
+void instance_gate::limitStarts(std::optional<double> PerSecond, instant Now) {
+  if (StartsPerSecond != PerSecond)
+    log().info("instance changes its limit",
+               {{"instance", Instance},
+                {"per_second", PerSecond ? std::to_string(*PerSecond)
+                                         : std::string("(none)")}});
+  StartsPerSecond = PerSecond;
+  if (Admission)
+    Admission->limitStarts(PerSecond, Now);
+}
+
+/// A limit that the instance named before this process started has to be
+/// learned from its first response.
+std::unique_ptr<concurrency_limiter> instance_gate::makeLimiter() {
+  if (std::exchange(HadInstance, true))
+    return std::make_unique<static_limiter>(Slots);
+  return std::make_unique<first_answer_limiter>(Slots);
+}
+
 void instance_gate::instanceChanged(instant Now) {
   const instance_report *Ready = Registration.ready();
   if (Ready == nullptr) {
@@ -282,12 +321,15 @@
     return;
   if (Admission)
     applyActions(Admission->drain(Now), Now);
+  if (Ready->Instance != Instance)
+    StartsPerSecond.reset();
   Instance = Ready->Instance;
   Slots = Ready->Slots;
   UnreachableUntil = instant();
   Downstream = std::make_unique<downstream_limiter>(Settings.Downstream, Slots);
-  Admission = std::make_unique<admission_gate>(
-      Settings.Admission, std::make_unique<static_limiter>(Slots));
+  Admission =
+      std::make_unique<admission_gate>(Settings.Admission, makeLimiter());
+  Admission->limitStarts(StartsPerSecond, Now);
 }
 
 void instance_gate::passTime(instant Now) {
@@ -306,7 +348,7 @@
   if (Admission) {
     Status.Running = static_cast<std::uint32_t>(Admission->running());
     Status.Queued = static_cast<std::uint32_t>(Admission->queued());
-    Status.Limit = Slots;
+    Status.Limit = static_cast<std::uint32_t>(Admission->usableSlots());
   }
   Status.IsReachable = Now >= UnreachableUntil;
   return Status;
--- a/modules/clementine_proxy/gate/instance_gate.h
+++ b/modules/clementine_proxy/gate/instance_gate.h
@@ -4,6 +4,7 @@
 #include "clementine_admission/clementine_admission.h"
 #include "clementine_proxy/gate/downstream_limiter.h"
 #include "clementine_proxy/gate/ended_runs.h"
+#include "clementine_proxy/gate/instance_notice.h"
 #include "clementine_proxy/gate/instance_registration.h"
 #include "clementine_proxy/peers/peer_messages.h"
 
@@ -33,6 +34,8 @@
   run_cause Cause = run_cause::None;
   bool ReachedInstance = false;
   response Response;
+  /// What the instance said about itself, if it has answered.
+  std::optional<instance_notice> Notice = std::nullopt;
 };
 
 /// Sends the calls and reports of an instance_gate.
@@ -110,10 +113,16 @@
     attempt_request AttemptRequest;
     instant Deadline;
     instant StartedAt;
+    /// The run of the instance that it was sent to.
+    instance_run Instance;
     bool IsRunning = false;
     bool CountsDownstream = false;
   };
 
+  void applyNotice(const attempt_id &Attempt, const instance_notice &Notice,
+                   instant Now);
+  void limitStarts(std::optional<double> PerSecond, instant Now);
+  std::unique_ptr<concurrency_limiter> makeLimiter();
   bool exceedsDownstreamLimit(active_run &Run);
   void updateDownstreamLimit(const active_run &Run,
                              const instance_result &Result, instant Now);
@@ -135,6 +144,11 @@
   /// The instance that Admission belongs to.
   std::string Instance;
   std::uint32_t Slots = 0;
+  /// Whether an instance has been ready since the process started.
+  bool HadInstance = false;
+  /// How many requests per second the instance takes; nothing if it names no
+  /// limit.
+  std::optional<double> StartsPerSecond;
   std::unordered_map<attempt_id, active_run, request_id_hash> Runs;
   ended_runs Ended;
   instant UnreachableUntil;
--- a/modules/clementine_proxy/http/header_names.h
+++ b/modules/clementine_proxy/http/header_names.h
@@ -20,6 +20,10 @@
   std::string NotExecuted;
   /// The service of the instance on whose VM the request originated.
   std::string CallerService;
+  /// In a response: how many requests per second the instance takes.
+  std::string StartLimit = {};
+  /// In a response: "1" if the instance is leaving.
+  std::string Leaving = {};
 
   bool operator==(const header_names &) const = default;
 };
