Gate: an instance that says in its answers that it leaves gets no more requests

Callers that a back end had told of its leaving still reached it from their machines, until its own report came (DRAIN by the answer's header). Cause: the header was passed on and not read; only reports to the node ended the registration of an instance. Change: the gate takes the header of the run that it belongs to for a deregistration: queued orders go elsewhere, the other nodes are told, and the departure is remembered across a restart as any other. What an instance of another name (421) or an earlier run says changes nothing.

--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -84,6 +84,8 @@
   const std::lock_guard Lock(Mutex);
   if (NamedLimit)
     Answer.Headers.emplace_back("Server-Limit", std::to_string(*NamedLimit));
+  if (SaysLeaving)
+    Answer.Headers.emplace_back("Server-Leaving", "1");
   return Answer;
 }
 
--- a/extras/stand_in_users_platform/app_instance.h
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -93,6 +93,8 @@
   /// Names a limit in requests per second in all its responses, or none any
   /// more.
   void nameLimit(std::optional<double> PerSecond);
+  /// Says in all its responses that it is leaving, and nothing in its reports.
+  void sayLeaving() { SaysLeaving = true; }
 
   /// Cuts off the responses to the next @p Count runs.
   void loseAnswers(int Count) { LostAnswers = Count; }
@@ -110,6 +112,7 @@
   std::atomic<std::chrono::milliseconds> ServiceTime;
   std::atomic<bool> IsDraining{false};
   std::atomic<bool> ReportsPaused{false};
+  std::atomic<bool> SaysLeaving{false};
   std::atomic<int> LostAnswers{0};
   std::atomic<unsigned> SlotsInUse{0};
   std::atomic<std::uint64_t> Sequence{0};
--- a/modules/clementine_proxy/gate/instance_gate.cpp
+++ b/modules/clementine_proxy/gate/instance_gate.cpp
@@ -288,6 +288,11 @@
   if (Run != instance_run{Current->Instance, Current->StartedAt})
     return;
   limitStarts(Notice.StartsPerSecond, Now);
+  if (!Notice.IsLeaving || Registration.hasDeparted(Run))
+    return;
+  log().info("instance says that it is leaving", {{"instance", Run.Instance}});
+  Registration.deregister(Run.Instance, Run.StartedAt);
+  instanceChanged(Now);
 }
 
 void instance_gate::limitStarts(std::optional<double> PerSecond, instant Now) {
--- a/modules/clementine_proxy/gate/instance_gate.h
+++ b/modules/clementine_proxy/gate/instance_gate.h
@@ -79,6 +79,8 @@
   void order(std::uint64_t Link, attempt_request AttemptRequest, instant Now);
   void query(std::uint64_t Link, const run_query &Query, instant Now);
   void cancel(const run_cancel &Cancel, instant Now);
+  /// Ends a run at the instance. If the instance says that it is leaving, this
+  /// deregisters it as instance_registration::deregister() does.
   void instanceEnded(const attempt_id &Attempt, instance_result Result,
                      instant Now);
 
--- a/modules/clementine_proxy/node/proxy_node.cpp
+++ b/modules/clementine_proxy/node/proxy_node.cpp
@@ -219,10 +219,13 @@
   }
 
   void instanceEnded(const attempt_id &Attempt, instance_result Result) {
+    const auto DepartedBefore = Registration.lastDeparture();
     if (!Faults.run("run", Attempt.text(), [&] {
           Gate.instanceEnded(Attempt, std::move(Result), now());
         }))
       Gate.abandon(Attempt, now());
+    if (Registration.lastDeparture() != DepartedBefore)
+      instanceChanged(false);
     schedule();
   }
 
--- a/tests/proxy/test_instance_notices.cpp
+++ b/tests/proxy/test_instance_notices.cpp
@@ -110,6 +110,23 @@
   CHECK(Test.Port.Called.size() == Before + 11);
 }
 
+TEST_CASE("an answer of an earlier run of the instance neither limits the "
+          "next one nor ends its registration") {
+  fixture Test;
+  const attempt_id Early = Test.order();
+  Test.registerRun(200);
+  Test.answer(Early, {0.0, true});
+  CHECK(Test.Registration.ready() != nullptr);
+  const std::size_t Before = Test.Port.Called.size();
+  const attempt_id Next = Test.order();
+  CHECK(Test.Port.Called.size() == Before + 1);
+  Test.answer(Next, {std::nullopt, true});
+  CHECK(Test.Registration.ready() == nullptr);
+  CHECK(Test.Registration.lastDeparture() == instance_run{"i-1", 200});
+  Test.order();
+  CHECK(Test.Port.Reports.back().Cause == run_cause::NoInstance);
+}
+
 TEST_CASE("a gate of a new process sends few runs before the first answer") {
   fixture Test;
   instance_gate Fresh{{}, Test.Registration, Test.Port};
--- a/tests/users_process/test_instance_notices.cpp
+++ b/tests/users_process/test_instance_notices.cpp
@@ -93,3 +93,21 @@
   CHECK(mostRunsInWindow(Mesh, Id, 4s) > Allowed);
   CHECK(Clients.Served > 100 * Clients.Failed);
 }
+
+TEST_CASE("an instance that says in its answers that it is leaving gets no "
+          "request 2 s later, also after its node has restarted") {
+  local_mesh Mesh;
+  REQUIRE(Mesh.awaitReady());
+  const std::string Id = Mesh.instance(Target).id();
+  const steady_clients Clients(Mesh);
+  std::this_thread::sleep_for(300ms);
+  Mesh.instance(Target).sayLeaving();
+  std::this_thread::sleep_for(2s);
+  const int Before = Mesh.Runs.by(Id);
+  CHECK(Before > 0);
+  Mesh.node(Target).kill();
+  Mesh.startNode(Target);
+  std::this_thread::sleep_for(3s);
+  CHECK(Mesh.Runs.by(Id) == Before);
+  CHECK(Clients.Served > 100 * Clients.Failed);
+}
