--- a/modules/clementine_transport/peers/peer_transport.cpp
+++ b/modules/clementine_transport/peers/peer_transport.cpp
@@ -1,11 +1,12 @@
 #include "clementine_transport/peers/peer_transport.h"
 
+#include "clementine_transport/peers/peer_connection.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <deque>
 #include <functional>
 #include <unordered_map>
@@ -19,7 +20,6 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t ReadBytes = 64U << 10U;
 /// How often links are checked for due heartbeats and for timeouts.
 constexpr std::chrono::milliseconds TickInterval{50};
 /// The delay before an event that the listener refused is delivered again.
@@ -44,176 +44,6 @@
 
 using command = std::variant<open_command, send_command, close_command>;
 
-/// Receives the events of a connection.
-class connection_owner {
-public:
-  virtual ~connection_owner() = default;
-  virtual void connectionUp(link_id Link, const node_identity &Peer) = 0;
-  virtual void connectionDown(link_id Link, bool WasUp) = 0;
-  virtual void connectionMessage(link_id Link, peer_message Message) = 0;
-  /// @returns whether reading should pause.
-  virtual bool isCongested() const = 0;
-};
-
-/// One socket and its session. Pending asynchronous operations share ownership
-/// of the connection.
-class peer_connection final
-    : public std::enable_shared_from_this<peer_connection> {
-public:
-  peer_connection(link_id Link, tcp::socket Socket,
-                  std::unique_ptr<peer_session> Session, const clock &Clock,
-                  connection_owner &Owner)
-      : Link(Link), Socket(std::move(Socket)), Session(std::move(Session)),
-        Clock(Clock), Owner(Owner) {}
-
-  peer_connection(const peer_connection &) = delete;
-  peer_connection &operator=(const peer_connection &) = delete;
-
-  void dial(const tcp::endpoint &Remote) {
-    Socket.async_connect(Remote,
-                         [Self = shared_from_this()](const auto &Error) {
-                           if (Error)
-                             Self->close();
-                           else
-                             Self->begin();
-                         });
-  }
-
-  void begin() {
-    boost::system::error_code Ignored;
-    Socket.set_option(tcp::no_delay(true), Ignored);
-    Connected = true;
-    read();
-    write();
-  }
-
-  void send(const peer_message &Message) {
-    if (Closed)
-      return;
-    // A full send buffer is treated as a lost connection; so is a message that
-    // cannot be encoded.
-    if (!Session->send(Message))
-      close();
-    else
-      write();
-  }
-
-  void tick() {
-    if (Closed)
-      return;
-    if (Session->tick(Clock.now()).has_error())
-      close();
-    else
-      write();
-  }
-
-  void resumeReading() {
-    if (!Paused || Closed)
-      return;
-    Paused = false;
-    read();
-  }
-
-  void close() {
-    if (Closed)
-      return;
-    Closed = true;
-    boost::system::error_code Ignored;
-    Socket.close(Ignored);
-    Owner.connectionDown(Link, AnnouncedUp);
-  }
-
-private:
-  void read() {
-    if (Owner.isCongested()) {
-      Paused = true;
-      return;
-    }
-    Socket.async_read_some(
-        asio::buffer(ReadBuffer),
-        [Self = shared_from_this()](const auto &Error, std::size_t Count) {
-          Self->finishRead(Error, Count);
-        });
-  }
-
-  void finishRead(const boost::system::error_code &Error, std::size_t Count) {
-    if (Closed)
-      return;
-    if (Error) {
-      close();
-      return;
-    }
-    auto Messages = Session->receive({ReadBuffer.data(), Count}, Clock.now());
-    if (Messages.has_error()) {
-      close();
-      return;
-    }
-    announceUp();
-    for (peer_message &Message : Messages.value())
-      Owner.connectionMessage(Link, std::move(Message));
-    write();
-    read();
-  }
-
-  void announceUp() {
-    if (AnnouncedUp || !Session->peer())
-      return;
-    AnnouncedUp = true;
-    Owner.connectionUp(Link, *Session->peer());
-  }
-
-  void write() {
-    if (Writing || !Connected || Closed || Session->output().empty())
-      return;
-    Writing = true;
-    // The session's buffer may be reallocated while more output is added, so a
-    // copy is sent.
-    WriteBuffer.assign(Session->output());
-    Session->consumeOutput(WriteBuffer.size());
-    WriteBufferSent = 0;
-    writeRemaining();
-  }
-
-  void writeRemaining() {
-    Socket.async_write_some(
-        asio::buffer(WriteBuffer.data() + WriteBufferSent,
-                     WriteBuffer.size() - WriteBufferSent),
-        [Self = shared_from_this()](const auto &Error, std::size_t Count) {
-          Self->finishWrite(Error, Count);
-        });
-  }
-
-  void finishWrite(const boost::system::error_code &Error, std::size_t Count) {
-    if (Closed)
-      return;
-    if (Error) {
-      close();
-      return;
-    }
-    WriteBufferSent += Count;
-    if (WriteBufferSent < WriteBuffer.size()) {
-      writeRemaining();
-      return;
-    }
-    Writing = false;
-    write();
-  }
-
-  const link_id Link;
-  tcp::socket Socket;
-  std::unique_ptr<peer_session> Session;
-  const clock &Clock;
-  connection_owner &Owner;
-  std::array<char, ReadBytes> ReadBuffer{};
-  std::string WriteBuffer;
-  std::size_t WriteBufferSent = 0;
-  bool Connected = false;
-  bool Writing = false;
-  bool Paused = false;
-  bool AnnouncedUp = false;
-  bool Closed = false;
-};
-
 } // namespace
 
 /// Everything below runs on the transport's thread, except start(), stop() and
