Admission: a refusal under a start limit does not keep less important work out for good

Callers of less urgent routes would have been refused for as long as no urgent request came, although nothing ran or waited. Cause: the mark of the last refusal is taken back when a run ends and a slot is free; while starts are limited, the slot may become free later, with no event. Change: an offer takes the mark back as well once nothing waits and a start is allowed. Test: test_admission, a refusal while starts are limited: refused before.

--- a/modules/clementine_admission/gate/admission_gate.cpp
+++ b/modules/clementine_admission/gate/admission_gate.cpp
@@ -19,6 +19,9 @@
                                      instant Now) {
   const admission_rank Rank = Ticket.rank();
   Tracker.onOffer(Rank, Now);
+  // While starts are limited, capacity also returns by the passing of time.
+  if (hasSpareCapacity(Now))
+    MostImportantRefused.reset();
   if (Draining)
     return refuse(Ticket, refusal_reason::Draining, Now);
   if (Running.contains(Ticket.RequestId) || Queue.contains(Ticket.RequestId))
--- a/tests/admission/test_admission_gate.cpp
+++ b/tests/admission/test_admission_gate.cpp
@@ -63,6 +63,24 @@
         offer_verdict::Admitted);
 }
 
+TEST_CASE("a refusal while starts are limited does not keep less important "
+          "tickets out once nothing runs or waits") {
+  admission_gate Gate = gateWith(4, 1);
+  Gate.limitStarts(1.0, Start);
+  Gate.offer(ticket(1, importance::High), Start);
+  Gate.offer(ticket(2, importance::High), Start);
+  CHECK(Gate.offer(ticket(3, importance::High, 1), Start).Verdict ==
+        offer_verdict::Refused);
+  Gate.complete({0, 1}, Completed, Start + 1ms);
+  const auto Due = Gate.nextWake();
+  REQUIRE(Due);
+  CHECK(*Due - Start == 1s);
+  CHECK(Gate.expire(*Due).Started.size() == 1);
+  Gate.complete({0, 2}, Completed, *Due + 1ms);
+  CHECK(Gate.offer(ticket(4, importance::Low), *Due + 2s).Verdict ==
+        offer_verdict::Admitted);
+}
+
 TEST_CASE(
     "a ticket that cannot meet its deadline is refused, at once or on expiry") {
   admission_gate Gate = gateWith(1, 4);
