Instance client: a reset during the upload does not end an answer in order

What callers saw: an instance answered a long upload at once with a 200 without length, sent a part of the body and reset the connection.

Cause: a socket reports a reset once. The write of the upload, whose error is ignored because a refusal may have arrived before, took the report; the read then ended like one of a connection that was closed in order, and that completes an answer without length. strace showed sendto() = ECONNRESET, then recvfrom() = 0. The error of the write may still be queued when the read ends, so it can't decide.

Change: before the end of input completes an answer, the connection is shut down for sending. That fails with ENOTCONN once a reset (or a timeout of TCP) has ended it, whichever call was told of it, and succeeds after an orderly close. An answer that ends in order during the upload is still delivered.

--- a/modules/clementine_proxy/gate/instance_connection.cpp
+++ b/modules/clementine_proxy/gate/instance_connection.cpp
@@ -166,9 +166,16 @@
   Client.bufferedBytesChanged(Before, Count);
 }
 
+/// A socket reports a reset only once: if the write in progress has taken the
+/// report, the read ends like one of a connection that was closed in order.
+/// Only the latter can still be shut down.
 read_progress instance_connection::endOfInput() {
   const read_progress Progress = Reader->read(Input);
-  return Progress == read_progress::Incomplete ? Reader->readEnd() : Progress;
+  if (Progress != read_progress::Incomplete)
+    return Progress;
+  boost::system::error_code Error;
+  Socket.shutdown(tcp::socket::shutdown_send, Error);
+  return Error ? read_progress::Failed : Reader->readEnd();
 }
 
 void instance_connection::answered(response Answer, bool HasEnded) {
