Response reader: a status that no answer can have ends its run without one

Cause: every status below 200 was taken for that of an interim response and skipped. An answer with such a status and no length, however, is completed by the end of its connection, where the status was not looked at. Statuses from 600 on were passed on, and 101 was awaited like any interim response, though the bytes behind it are no HTTP any more.

Change: a head counts only with an interim status other than 101 or with a final status, 200 to 599 (RFC 9110, section 15). Two functions in clementine_core say which these are.

Measured: both new tests failed before (of seven statuses with three framings each, 000, 001, 012, 099 without a length and 600 and 999 in any form were taken for whole; on a socket the run with 000 ended as completed); with the change the file passes.

--- a/modules/clementine_core/clementine_core.h
+++ b/modules/clementine_core/clementine_core.h
@@ -1,5 +1,6 @@
 /// The basic types that all other modules share: time, randomness, identity,
-/// typed results, bounded rings and the supervisor tree.
+/// typed results, bounded rings, the syntax of HTTP responses and the supervisor
+/// tree.
 ///
 /// Depends on no other module.
 #ifndef CLEMENTINE_CORE_H
@@ -7,6 +8,7 @@
 
 #include "clementine_core/concurrency/bounded_ring.h"
 #include "clementine_core/errors/result.h"
+#include "clementine_core/http/response_syntax.h"
 #include "clementine_core/identity/identity.h"
 #include "clementine_core/random/random_source.h"
 #include "clementine_core/supervision/supervisor.h"
--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -1,5 +1,6 @@
 #include "clementine_proxy/http/message_reader.h"
 
+#include "clementine_core/http/response_syntax.h"
 #include "clementine_proxy/model/message_limits.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -17,7 +18,6 @@
 
 namespace {
 
-constexpr unsigned FirstFinalStatus = 200;
 /// Bytes of chunk sizes and line ends allowed for each byte of a body, enough
 /// for a body that is sent in chunks of one byte.
 constexpr std::uint64_t FramingBytesPerBodyByte = 8;
@@ -93,6 +93,13 @@
          });
 }
 
+/// Whether a server can answer a request with the status: no request asks for
+/// another protocol.
+template <class Message> bool hasPossibleStatus(const Message &Source) {
+  return isInterimStatus(Source.result_int()) ||
+         isFinalStatus(Source.result_int());
+}
+
 /// Whether the header and trailer fields of a message fit into one message
 /// between nodes.
 template <class Message> bool hasAcceptableFields(const Message &Source) {
@@ -254,13 +261,14 @@
         hasExcessiveFraming(ConsumedBytes, bodyBytes(), MaxResponseHeaderBytes))
       return fail(read_fault::HeaderTooLarge);
     if (Parser->Beast.is_header_done() &&
-        containsBrokenHead(Parser->Beast.get()))
+        (!hasPossibleStatus(Parser->Beast.get()) ||
+         containsBrokenHead(Parser->Beast.get())))
       return fail(read_fault::Malformed);
     if (!IsDone)
       return read_progress::Incomplete;
     if (!hasAcceptableFields(Parser->Beast.get()))
       return fail(read_fault::HeaderTooLarge);
-    if (Parser->Beast.get().result_int() >= FirstFinalStatus)
+    if (isFinalStatus(Parser->Beast.get().result_int()))
       return read_progress::Complete;
     reset();
   }
--- /dev/null
+++ b/tests/proxy/test_broken_heads.cpp
@@ -0,0 +1,76 @@
+/// Heads that no answer can have: they must not reach a caller as answers.
+
+#include "scripted_instance.h"
+
+#include <doctest/doctest.h>
+
+using namespace clementine;
+using namespace clementine::proxy;
+
+namespace {
+
+const std::string Start = "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: p\r\n";
+
+/// @returns whether a reader takes @p Answer for a complete one, if it arrives
+/// in pieces of @p Step bytes and its connection then ends.
+bool isTakenForWhole(const std::string &Answer, std::size_t Step) {
+  response_reader Reader(false, 1024);
+  std::string Input;
+  for (std::size_t At = 0; At < Answer.size(); At += Step) {
+    Input += Answer.substr(At, Step);
+    const read_progress Progress = Reader.read(Input);
+    if (Progress != read_progress::Incomplete)
+      return Progress == read_progress::Complete;
+  }
+  return Reader.readEnd() == read_progress::Complete;
+}
+
+void checkIsNoAnswer(const std::string &Answer) {
+  CAPTURE(Answer);
+  for (const std::size_t Step : {Answer.size(), std::size_t{7}, std::size_t{1}})
+    CHECK_FALSE(isTakenForWhole(Answer, Step));
+}
+
+/// A rest of an answer for each way to say where its body ends.
+const std::vector<std::string> Ends = {
+    "Content-Length: 5\r\n\r\nwhole", "\r\nwhole",
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"};
+
+} // namespace
+
+TEST_CASE("a status that no answer can have does not reach the caller") {
+  for (const char *Status : {"000", "001", "012", "099", "101", "600", "999"})
+    for (const std::string &End : Ends)
+      checkIsNoAnswer("HTTP/1.1 " + std::string(Status) +
+                      " Trouble\r\nX-Id: a\r\nX-Proof: p\r\n" + End);
+}
+
+TEST_CASE("an answer with the status 000 leaves its run without an answer") {
+  for (const std::string &End : Ends) {
+    CAPTURE(End);
+    scripted_instance Test;
+    Test.call(1, "a");
+    auto *Connection = Test.request("a");
+    REQUIRE(Connection != nullptr);
+    scripted_instance::send(*Connection,
+                            "HTTP/1.1 000 \r\nX-Id: a\r\nX-Proof: p\r\n" + End);
+    scripted_instance::close(*Connection);
+    REQUIRE(Test.awaitResults(1));
+    CHECK(Test.Results[0].Outcome == run_outcome::Unknown);
+    CHECK(Test.Results[0].Cause == run_cause::NoValidResponse);
+  }
+}
+
+TEST_CASE("an answer in good order is read in whatever pieces it arrives") {
+  for (const std::string &End : Ends)
+    for (const std::size_t Step :
+         {std::size_t{1000}, std::size_t{7}, std::size_t{1}}) {
+      CAPTURE(End);
+      CAPTURE(Step);
+      CHECK(isTakenForWhole(Start +
+                                "X-Empty:\r\nX-!#$%&'*+-.^_`|~0: \xc3\xa9 "
+                                "\t v\r\n" +
+                                End,
+                            Step));
+    }
+}
