Forwarder: a report with a status that no answer can have is one of no answer

The same class as the status 000, between nodes: while versions are mixed, a gate that runs an earlier version still reports such a status as a completed run.

Cause: a report was refused only with a status below 100 or above 999.

Change: the entry takes a completed report without a final status for one of an unknown outcome, next to the other claim of earlier versions that it withdraws.

Measured: the new test failed before with each of 101, 199, 600 and 999 (the caller got that status); with the change test_forwarder passes.

--- a/modules/clementine_proxy/entry/forwarder.cpp
+++ b/modules/clementine_proxy/entry/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "clementine_proxy/entry/forwarder.h"
 
+#include "clementine_core/http/response_syntax.h"
 #include "clementine_proxy/entry/caller_deadline.h"
 #include "clementine_telemetry/clementine_telemetry.h"
 
@@ -34,6 +35,22 @@
   return Text;
 }
 
+/// Turns a report into one of an unknown outcome if it may claim more than its
+/// gate knows, as those of gates of earlier versions do.
+void withdrawUnfoundedClaims(run_report &Report) {
+  // The gate may have forgotten the run; see run_report::IsProven.
+  if (Report.Outcome == run_outcome::NotRun &&
+      Report.Cause == run_cause::UnknownAttempt && !Report.IsProven) {
+    Report.Outcome = run_outcome::Unknown;
+    Report.ReachedInstance = true;
+  }
+  if (Report.Outcome == run_outcome::Completed &&
+      !isFinalStatus(Report.Response.Status)) {
+    Report.Outcome = run_outcome::Unknown;
+    Report.Cause = run_cause::NoValidResponse;
+  }
+}
+
 } // namespace
 
 forwarder::forwarder(forwarder_settings Settings, const header_names &Names,
@@ -146,12 +163,7 @@
   if (Found == CallsByAttempt.end())
     return;
   const call_pointer Call = Found->second;
-  // The gate may have forgotten the run; see run_report::IsProven.
-  if (Report.Outcome == run_outcome::NotRun &&
-      Report.Cause == run_cause::UnknownAttempt && !Report.IsProven) {
-    Report.Outcome = run_outcome::Unknown;
-    Report.ReachedInstance = true;
-  }
+  withdrawUnfoundedClaims(Report);
   isolate(Call, Now, [&] { attemptEnded(Call, Report, Now); });
 }
 
--- a/tests/proxy/test_forwarder.cpp
+++ b/tests/proxy/test_forwarder.cpp
@@ -107,6 +107,18 @@
   CHECK(Test.Forwarder.active() == 0);
 }
 
+TEST_CASE("a report with a status that no answer can have, as a gate of an "
+          "earlier version may send it, does not reach the caller") {
+  for (const unsigned Status : {101U, 199U, 600U, 999U}) {
+    CAPTURE(Status);
+    fixture Test;
+    const auto Call = Test.begin("/book/1");
+    Test.end(run_outcome::Completed, run_cause::None, true, Status);
+    CHECK(Test.status(Call) == 502);
+    CHECK(Test.Forwarder.active() == 0);
+  }
+}
+
 TEST_CASE("the shorter timeout of route and caller applies") {
   fixture Test;
   Test.begin("/read/1", "300");
