Response reader: a head with a line that is no field line is no answer

Cause: the parser joins a line that begins with a blank or a tab to the field before it (obs-fold). A line " Content-Length: 5" then became text of a value and the body ran to the end of the connection, chunk sizes included.

Change: the reader keeps the bytes of a head until it is complete and checks each line: a token, the colon directly behind it, a value without control characters. As RFC 9112, section 5.2, allows, an answer with a folded line is treated as none.

--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cassert>
 #include <stdexcept>
+#include <utility>
 
 namespace clementine::proxy {
 
@@ -36,9 +37,11 @@
 /// is longer than the parser can store, which it reports by an exception,
 /// counts as part of a header that is too large.
 /// @param ConsumedBytes increased by the number of consumed bytes.
+/// @param Copy if set, the consumed bytes are appended to it.
 template <class Parser>
 boost::beast::error_code consume(Parser &Target, std::string &Buffer,
-                                 std::uint64_t &ConsumedBytes) try {
+                                 std::uint64_t &ConsumedBytes,
+                                 std::string *Copy = nullptr) try {
   std::size_t Offset = 0;
   boost::beast::error_code Error;
   while (!Target.is_done() && Offset < Buffer.size()) {
@@ -49,6 +52,8 @@
     if (Error || Consumed == 0)
       break;
   }
+  if (Copy != nullptr)
+    Copy->append(Buffer, 0, Offset);
   Buffer.erase(0, Offset);
   ConsumedBytes += Offset;
   return Error;
@@ -253,16 +258,19 @@
   if (Fault != read_fault::None)
     return read_progress::Failed;
   while (!Buffer.empty()) {
-    const auto Error = consume(Parser->Beast, Buffer, ConsumedBytes);
+    const bool HasReadHead = Parser->Beast.is_header_done();
+    const auto Error = consume(Parser->Beast, Buffer, ConsumedBytes,
+                               HasReadHead ? nullptr : &Head);
     if (Error && Error != http::error::need_more)
       return fail(faultOf(Error));
+    if (!HasReadHead && Parser->Beast.is_header_done() && !isHeadAcceptable())
+      return fail(read_fault::Malformed);
     const bool IsDone = Parser->Beast.is_done();
     if ((!IsDone && Buffer.size() > MaxResponseHeaderBytes) ||
         hasExcessiveFraming(ConsumedBytes, bodyBytes(), MaxResponseHeaderBytes))
       return fail(read_fault::HeaderTooLarge);
     if (Parser->Beast.is_header_done() &&
-        (!hasPossibleStatus(Parser->Beast.get()) ||
-         containsBrokenHead(Parser->Beast.get())))
+        containsBrokenHead(Parser->Beast.get()))
       return fail(read_fault::Malformed);
     if (!IsDone)
       return read_progress::Incomplete;
@@ -275,6 +283,14 @@
   return read_progress::Incomplete;
 }
 
+/// Checks the head that was just read. The parser joins a line that begins with
+/// a blank to the one before it, so that the lines have to be checked as they
+/// came.
+bool response_reader::isHeadAcceptable() {
+  const std::string Lines = std::exchange(Head, {});
+  return hasPossibleStatus(Parser->Beast.get()) && hasOnlyFieldLines(Lines);
+}
+
 read_progress response_reader::readEnd() {
   if (Fault != read_fault::None)
     return read_progress::Failed;
--- a/modules/clementine_proxy/http/message_reader.h
+++ b/modules/clementine_proxy/http/message_reader.h
@@ -108,11 +108,14 @@
   struct parser;
 
   read_progress fail(read_fault Reason);
+  bool isHeadAcceptable();
   void reset();
 
   const bool IsForHead;
   const std::uint64_t MaxBody;
   std::unique_ptr<parser> Parser;
+  /// The bytes read so far of a head that is not complete.
+  std::string Head;
   /// Bytes of the current response and of the interim responses before it that
   /// were consumed so far.
   std::uint64_t ConsumedBytes = 0;
--- a/tests/proxy/test_broken_heads.cpp
+++ b/tests/proxy/test_broken_heads.cpp
@@ -36,6 +36,13 @@
     "Content-Length: 5\r\n\r\nwhole", "\r\nwhole",
     "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"};
 
+bool isTokenByte(unsigned char Byte) {
+  constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return (Byte >= '0' && Byte <= '9') || (Byte >= 'A' && Byte <= 'Z') ||
+         (Byte >= 'a' && Byte <= 'z') ||
+         Others.find(static_cast<char>(Byte)) != std::string_view::npos;
+}
+
 } // namespace
 
 TEST_CASE("a status that no answer can have does not reach the caller") {
@@ -61,6 +68,43 @@
   }
 }
 
+TEST_CASE("a field name with a byte that no name can hold spoils its answer") {
+  for (unsigned Value = 0; Value < 256; ++Value) {
+    const char Byte = static_cast<char>(Value);
+    if (isTokenByte(static_cast<unsigned char>(Value)) || Byte == ':')
+      continue;
+    for (const std::string &Name :
+         {std::string(1, Byte) + "X-Name", std::string("X-") + Byte + "Name",
+          std::string("X-Name") + Byte, std::string(1, Byte)})
+      for (const std::string &End : Ends) {
+        checkIsNoAnswer(Start + Name + ": v\r\n" + End);
+        checkIsNoAnswer("HTTP/1.1 200 OK\r\n" + Name + ": v\r\n" +
+                        "X-Id: a\r\nX-Proof: p\r\n" + End);
+      }
+  }
+}
+
+TEST_CASE("a length whose field name holds a blank does not give its answer "
+          "another body") {
+  for (const std::string Line :
+       {"Content-Length : 5", " Content-Length: 5", "\tContent-Length: 5",
+        "Content-Length\t: 5", "Content Length: 5",
+        "Transfer-Encoding : chunked", " Transfer-Encoding: chunked", " : 5",
+        ": 5", "Content-Length"})
+    checkIsNoAnswer(Start + Line + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+}
+
+TEST_CASE("a control byte in a field value or a reason spoils its answer") {
+  for (unsigned Value = 0; Value < 32; ++Value) {
+    const char Byte = static_cast<char>(Value);
+    if (Byte == '\t')
+      continue;
+    checkIsNoAnswer(Start + "X-Name: v" + Byte + "w\r\n" + Ends[0]);
+    checkIsNoAnswer(std::string("HTTP/1.1 200 O") + Byte + "K\r\n" +
+                    Start.substr(Start.find('\n') + 1) + Ends[0]);
+  }
+}
+
 TEST_CASE("an answer in good order is read in whatever pieces it arrives") {
   for (const std::string &End : Ends)
     for (const std::size_t Step :
