Response reader: a body in a transfer coding that is not undone is no answer

Cause: the parser knows "chunked" as the last coding only and ignores all others; for requests this was checked, for answers not.

Change: the check of requests (no coding, or chunked alone) holds for both. The product sends no TE, so an instance has no reason to use another coding.

Measured: the new test failed before with each of its seven heads; with the change the file passes.

--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
@@ -98,6 +99,16 @@
          });
 }
 
+/// Whether the body is as it was sent: coded in no way, or in chunks alone.
+template <class Message> bool isOnlyChunked(const Message &Source) {
+  const auto [Begin, End] = Source.equal_range(http::field::transfer_encoding);
+  return Begin == End ||
+         (std::next(Begin) == End &&
+          boost::algorithm::iequals(
+              std::string(Begin->value().data(), Begin->value().size()),
+              "chunked"));
+}
+
 /// Whether a server can answer a request with the status: no request asks for
 /// another protocol.
 template <class Message> bool hasPossibleStatus(const Message &Source) {
@@ -195,14 +206,7 @@
 bool request_reader::isUnambiguous() const {
   const auto &Message = Parser->Beast.get();
   if (Message.count(http::field::host) != 1 ||
-      Message.count(http::field::content_length) > 1 ||
-      Message.count(http::field::transfer_encoding) > 1)
-    return false;
-  const auto Encoding = Message.find(http::field::transfer_encoding);
-  if (Encoding != Message.end() &&
-      !boost::algorithm::iequals(
-          std::string(Encoding->value().data(), Encoding->value().size()),
-          "chunked"))
+      Message.count(http::field::content_length) > 1 || !isOnlyChunked(Message))
     return false;
   const auto Target = Message.target();
   return !Target.empty() && Target.front() == '/' && Message.version() == 11;
@@ -288,7 +292,8 @@
 /// came.
 bool response_reader::isHeadAcceptable() {
   const std::string Lines = std::exchange(Head, {});
-  return hasPossibleStatus(Parser->Beast.get()) && hasOnlyFieldLines(Lines);
+  return hasOnlyFieldLines(Lines) && hasPossibleStatus(Parser->Beast.get()) &&
+         isOnlyChunked(Parser->Beast.get());
 }
 
 read_progress response_reader::readEnd() {
--- a/tests/proxy/test_broken_heads.cpp
+++ b/tests/proxy/test_broken_heads.cpp
@@ -105,6 +105,17 @@
   }
 }
 
+TEST_CASE("an answer whose body is coded in a way that is not undone here does "
+          "not reach the caller") {
+  for (const std::string Coding : {"gzip", "gzip, chunked", "chunked, gzip",
+                                   "identity", "xchunked", "chunked, chunked"})
+    checkIsNoAnswer(Start + "Transfer-Encoding: " + Coding +
+                    "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+  checkIsNoAnswer(Start + "Transfer-Encoding: chunked\r\n"
+                          "Transfer-Encoding: gzip\r\n\r\n"
+                          "5\r\nwhole\r\n0\r\n\r\n");
+}
+
 TEST_CASE("an answer in good order is read in whatever pieces it arrives") {
   for (const std::string &End : Ends)
     for (const std::size_t Step :
