Store channel: an answer of the store with a broken head is none

A 404 whose head held a line such as "X-Name : v" said that a key or a lease is not there, and a 200 with such a head that a write was made, though a broken head does not show that the rest is right.

Cause: libcurl passes on any line of a head.

Change: response_line_check in clementine_core holds what the upstream client checked (status line, field lines, 256 KiB for all of them); the channel of the store ends a call at the first invalid line as a malformed answer, with an unknown effect for a write. The upstream client uses the same class.

--- a/modules/clementine_core/clementine_core.h
+++ b/modules/clementine_core/clementine_core.h
@@ -8,6 +8,7 @@
 
 #include "clementine_core/concurrency/bounded_ring.h"
 #include "clementine_core/errors/result.h"
+#include "clementine_core/http/response_line_check.h"
 #include "clementine_core/http/response_syntax.h"
 #include "clementine_core/identity/identity.h"
 #include "clementine_core/random/random_source.h"
--- a/modules/clementine_http/client/upstream_client.cpp
+++ b/modules/clementine_http/client/upstream_client.cpp
@@ -1,6 +1,6 @@
 #include "clementine_http/client/upstream_client.h"
 
-#include "clementine_core/http/response_syntax.h"
+#include "clementine_core/http/response_line_check.h"
 
 #include <algorithm>
 #include <array>
@@ -179,35 +179,26 @@
   /// Accepts a line of a head or a trailer.
   /// @returns false, which ends the call, for a line that is none of an answer.
   bool acceptLine(std::string_view Line) {
-    HeaderBytes += Line.size();
-    if (HeaderBytes > LargestHeader)
-      return false;
-    if (Line.ends_with('\n'))
-      Line.remove_suffix(1);
-    if (Line.ends_with('\r'))
-      Line.remove_suffix(1);
-    if (Line.empty()) {
-      // An interim response such as 100 is followed by the final one.
-      ExpectsStatusLine = isInterimStatus(Answer.Status);
-      return true;
-    }
-    return std::exchange(ExpectsStatusLine, false) ? acceptStatus()
-                                                   : acceptField(Line);
-  }
-
-  bool acceptStatus() {
-    Answer = {};
-    Length.clear();
-    IsChunked = IsMarkedNotRun = false;
     long Status = 0;
     curl_easy_getinfo(Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
-    Answer.Status = static_cast<std::uint16_t>(Status);
-    return isInterimStatus(Answer.Status) || isFinalStatus(Answer.Status);
+    switch (LineCheck.next(Line, static_cast<unsigned>(Status))) {
+    case response_line::Status:
+      Answer = {};
+      Answer.Status = static_cast<std::uint16_t>(Status);
+      Length.clear();
+      IsChunked = IsMarkedNotRun = false;
+      return true;
+    case response_line::Field:
+      return acceptField(Line);
+    case response_line::End:
+      return true;
+    case response_line::Invalid:
+      break;
+    }
+    return false;
   }
 
   bool acceptField(std::string_view Line) {
-    if (!isFieldLine(Line))
-      return false;
     const auto Colon = Line.find(':');
     const std::string Name(Line.substr(0, Colon));
     const std::string Value(trimmed(Line.substr(Colon + 1)));
@@ -247,18 +238,15 @@
   }
 
   static constexpr std::size_t LargestAnswerBody = std::size_t{1} << 20U;
-  /// The most bytes of the head, the interim heads before it and the trailer.
-  static constexpr std::size_t LargestHeader = std::size_t{256} << 10U;
 
   const upstream_call Call;
   std::unique_ptr<CURL, easy_deleter> Easy;
   std::unique_ptr<curl_slist, list_deleter> Headers;
   http_answer Answer;
   unsigned SendAttempts = 0;
-  std::size_t HeaderBytes = 0;
+  response_line_check LineCheck;
   /// The value of `Content-Length`; empty without that field.
   std::string Length;
-  bool ExpectsStatusLine = true;
   bool IsChunked = false;
   bool IsMarkedNotRun = false;
   bool TooLarge = false;
--- a/modules/clementine_platform/etcd/http_channel.cpp
+++ b/modules/clementine_platform/etcd/http_channel.cpp
@@ -1,5 +1,7 @@
 #include "clementine_platform/etcd/http_channel.h"
 
+#include "clementine_core/http/response_line_check.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -162,6 +164,8 @@
   void prepare(const std::string &Url, const std::string &Body) {
     curl_easy_reset(Easy);
     Received.clear();
+    LineCheck = {};
+    IsMalformed = false;
     TooLarge = false;
     StoppedByListener = false;
     Listener = nullptr;
@@ -192,6 +196,8 @@
         duration_cast<milliseconds>(Limits.ConnectTimeout).count());
     curl_easy_setopt(Easy, CURLOPT_ERRORBUFFER, ErrorText.data());
     curl_easy_setopt(Easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &handle::checkLine);
+    curl_easy_setopt(Easy, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(Easy, CURLOPT_XFERINFOFUNCTION, &handle::shouldAbort);
     curl_easy_setopt(Easy, CURLOPT_XFERINFODATA, this);
     curl_easy_setopt(Easy, CURLOPT_NOPROGRESS, 0L);
@@ -244,6 +250,8 @@
     case CURLE_WRITE_ERROR:
       if (TooLarge)
         Failure.Cause = platform_cause::AnswerTooLarge;
+      else if (IsMalformed)
+        Failure.Cause = platform_cause::MalformedAnswer;
       break;
     case CURLE_UNSUPPORTED_PROTOCOL:
     case CURLE_WEIRD_SERVER_REPLY:
@@ -258,6 +266,17 @@
     return Failure;
   }
 
+  /// Ends the call at a line that is none of an answer.
+  static std::size_t checkLine(char *Bytes, std::size_t Size, std::size_t Count,
+                               void *User) {
+    auto &Self = *static_cast<handle *>(User);
+    std::string_view Line(Bytes, Size * Count);
+    const auto Status = static_cast<unsigned>(Self.status());
+    Self.IsMalformed =
+        Self.LineCheck.next(Line, Status) == response_line::Invalid;
+    return Self.IsMalformed ? 0 : Size * Count;
+  }
+
   static std::size_t readBody(char *Buffer, std::size_t Size, std::size_t Count,
                               void *User) {
     auto &Self = *static_cast<handle *>(User);
@@ -325,6 +344,8 @@
   std::array<char, CURL_ERROR_SIZE> ErrorText{};
   const line_listener *Listener = nullptr;
   instant LastReceiveTime;
+  response_line_check LineCheck;
+  bool IsMalformed = false;
   bool TooLarge = false;
   bool StoppedByListener = false;
 };
--- /dev/null
+++ b/tests/platform/test_broken_answers.cpp
@@ -0,0 +1,49 @@
+/// Answers of a store in trouble, which say nothing of what was done.
+
+#include "clementine_platform/clementine_platform.h"
+#include "scripted_server.h"
+
+#include <doctest/doctest.h>
+
+using namespace clementine;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Committed = R"({"header":{"revision":"7"},"succeeded":true})";
+
+/// @returns the error of a write that is answered with @p Answer.
+platform_error commitErrorOf(const std::string &Answer) {
+  CAPTURE(Answer);
+  scripted_server Server({{Answer, scripted_server::after::Close}});
+  http_channel::limits Limits;
+  Limits.CallTimeout = 10s;
+  etcd_platform_store Store(Server.url(), Limits);
+  platform_transaction Transaction;
+  Transaction.Puts = {{"k", "v", 0}};
+  const auto Commit = Store.commit(Transaction);
+  REQUIRE(Commit.has_error());
+  return Commit.error();
+}
+
+} // namespace
+
+TEST_CASE(
+    "a head with a line that is no field line is no answer of the store") {
+  for (const std::string Line :
+       {"X-Name : v", " X-Name: v", "X-\1Name: v", "X Name: v", "X-Name", ": v",
+        "Content-Length : 5", " Content-Length: 5"})
+    for (const char *Status : {"200 OK", "400 Refused"}) {
+      const std::string Start = "HTTP/1.1 " + std::string(Status) + "\r\n";
+      const std::string Length =
+          "Content-Length: " + std::to_string(Committed.size()) + "\r\n";
+      for (const std::string &Answer :
+           {Start + "X-Own: yes\r\n" + Line + "\r\n" + Length + "\r\n" +
+                Committed,
+            Start + Length + Line + "\r\n\r\n" + Committed}) {
+        const platform_error Error = commitErrorOf(Answer);
+        CHECK(Error.Cause == platform_cause::MalformedAnswer);
+        CHECK(Error.Effect == platform_effect::Unknown);
+      }
+    }
+}
--- /dev/null
+++ b/tests/users_platform/test_broken_answers.cpp
@@ -0,0 +1,45 @@
+/// Answers of a store in trouble, which say nothing of what was done.
+
+#include "../platform/scripted_server.h"
+#include "store/kv_platform_store.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace clementine;
+
+namespace {
+
+/// A store that answers every call with the same bytes.
+struct broken_store {
+  explicit broken_store(const std::string &Answer)
+      : Server({{Answer, scripted_server::after::Close}}),
+        Store(Server.url(), {}) {}
+
+  scripted_server Server;
+  users::kv_platform_store Store;
+};
+
+std::string answerOf(const std::string &Status, const std::string &Field,
+                     const std::string &Body) {
+  return "HTTP/1.1 " + Status + " Trouble\r\n" + Field +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+} // namespace
+
+TEST_CASE("a broken head does not say that a key or a lease is not there") {
+  for (const std::string Field :
+       {"X-Name : v\r\n", "X-Own: yes\r\n X-Name: v\r\n", "X-\1Name: v\r\n"}) {
+    CAPTURE(Field);
+    const std::string NotFound = answerOf("404", Field, "");
+    CHECK_FALSE(broken_store(NotFound).Store.get("k"));
+    const auto Renewed = broken_store(NotFound).Store.renewLease(7);
+    REQUIRE(Renewed.has_error());
+    CHECK(Renewed.error().Cause != platform_cause::LeaseNotFound);
+    const auto Committed = broken_store(NotFound).Store.commit({});
+    REQUIRE(Committed.has_error());
+    CHECK(Committed.error().Effect == platform_effect::Unknown);
+  }
+}
