Stores: a status that the store does not use says nothing of a write

A write that was answered with 101, 201, 202, 204 or 302 counted as refused and not applied, so that the caller could rely on something that the store had not said; 600 and 999 counted as errors of the server.

Cause: every status other than the expected ones and below 500 was a refusal.

--- a/modules/clementine_platform/etcd/etcd_platform_store.cpp
+++ b/modules/clementine_platform/etcd/etcd_platform_store.cpp
@@ -12,6 +12,7 @@
 
 constexpr long HttpOk = 200;
 constexpr long HttpRequestTimeout = 408;
+constexpr long FirstClientError = 400;
 constexpr long FirstServerError = 500;
 
 platform_error malformed(const etcd::codec_error &Error,
@@ -23,8 +24,11 @@
   const etcd::gateway_error Error = etcd::decodeGatewayError(Answer.Body);
   platform_error Failure{platform_cause::Refused, platform_effect::NotApplied,
                          Answer.Status, Error.Message};
-  if (Answer.Status >= FirstServerError ||
-      Answer.Status == HttpRequestTimeout) {
+  if (Answer.Status < FirstClientError) {
+    Failure.Cause = platform_cause::MalformedAnswer;
+    Failure.Effect = platform_effect::Unknown;
+  } else if (Answer.Status >= FirstServerError ||
+             Answer.Status == HttpRequestTimeout) {
     // The service may have forwarded the change before it reported the error.
     Failure.Cause = platform_cause::Faulty;
     Failure.Effect = platform_effect::Unknown;
--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -28,6 +28,19 @@
 
 } // namespace
 
+TEST_CASE("a status that no answer of the store can have does not say that a "
+          "write was not applied") {
+  for (const int Status : {0, 1, 99, 101, 202, 204, 302, 600, 999}) {
+    CAPTURE(Status);
+    std::string Answer = scripted_server::httpAnswer(Status, Committed);
+    Answer.replace(Answer.find(' ') + 1, Answer.find(' ', 9) - 9,
+                   std::to_string(1000 + Status).substr(1));
+    const platform_error Error = commitErrorOf(Answer);
+    CHECK(Error.Cause == platform_cause::MalformedAnswer);
+    CHECK(Error.Effect == platform_effect::Unknown);
+  }
+}
+
 TEST_CASE(
     "a head with a line that is no field line is no answer of the store") {
   for (const std::string Line :
--- a/tests/users_platform/test_broken_answers.cpp
+++ b/tests/users_platform/test_broken_answers.cpp
@@ -29,6 +29,19 @@
 
 } // namespace
 
+TEST_CASE("a status that the store does not use does not say that a write was "
+          "not applied") {
+  for (const char *Status :
+       {"000", "099", "101", "201", "202", "204", "302", "600", "999"}) {
+    CAPTURE(Status);
+    broken_store Broken(answerOf(Status, "", R"({"revision":7})"));
+    const auto Commit = Broken.Store.commit({});
+    REQUIRE(Commit.has_error());
+    CHECK(Commit.error().Cause == platform_cause::MalformedAnswer);
+    CHECK(Commit.error().Effect == platform_effect::Unknown);
+  }
+}
+
 TEST_CASE("a broken head does not say that a key or a lease is not there") {
   for (const std::string Field :
        {"X-Name : v\r\n", "X-Own: yes\r\n X-Name: v\r\n", "X-\1Name: v\r\n"}) {
