--- a/modules/clementine_core/clementine_core.h
+++ b/modules/clementine_core/clementine_core.h
@@ -1,6 +1,6 @@
 /// The basic types that all other modules share: time, randomness, identity,
-/// typed results, bounded rings, the syntax of HTTP responses and the supervisor
-/// tree.
+/// typed results, bounded rings, the syntax of HTTP responses and the
+/// supervisor tree.
 ///
 /// Depends on no other module.
 #ifndef CLEMENTINE_CORE_H
