--- a/tests/platform/test_broken_answers.cpp
+++ b/tests/platform/test_broken_answers.cpp
@@ -26,6 +26,15 @@
   return Commit.error();
 }
 
+/// @returns an answer with a body that fits, and with @p Line in its head.
+std::string answerWith(const std::string &Status, const std::string &Line,
+                       bool IsLast) {
+  const std::string Length =
+      "Content-Length: " + std::to_string(Committed.size()) + "\r\n";
+  return "HTTP/1.1 " + Status + "\r\nX-Own: yes\r\n" + (IsLast ? Length : "") +
+         Line + "\r\n" + (IsLast ? "" : Length) + "\r\n" + Committed;
+}
+
 } // namespace
 
 TEST_CASE("a status that no answer of the store can have does not say that a "
@@ -46,17 +55,10 @@
   for (const std::string Line :
        {"X-Name : v", " X-Name: v", "X-\1Name: v", "X Name: v", "X-Name", ": v",
         "Content-Length : 5", " Content-Length: 5"})
-    for (const char *Status : {"200 OK", "400 Refused"}) {
-      const std::string Start = "HTTP/1.1 " + std::string(Status) + "\r\n";
-      const std::string Length =
-          "Content-Length: " + std::to_string(Committed.size()) + "\r\n";
-      for (const std::string &Answer :
-           {Start + "X-Own: yes\r\n" + Line + "\r\n" + Length + "\r\n" +
-                Committed,
-            Start + Length + Line + "\r\n\r\n" + Committed}) {
-        const platform_error Error = commitErrorOf(Answer);
+    for (const std::string Status : {"200 OK", "400 Refused"})
+      for (const bool IsLast : {false, true}) {
+        const auto Error = commitErrorOf(answerWith(Status, Line, IsLast));
         CHECK(Error.Cause == platform_cause::MalformedAnswer);
         CHECK(Error.Effect == platform_effect::Unknown);
       }
-    }
 }
--- a/tests/proxy/test_broken_heads.cpp
+++ b/tests/proxy/test_broken_heads.cpp
@@ -25,6 +25,14 @@
   return Reader.readEnd() == read_progress::Complete;
 }
 
+/// @returns an answer that has @p Line behind its other lines, or before them.
+std::string answerWith(const std::string &Line, const std::string &End,
+                       bool IsFirst = false) {
+  const std::size_t At = IsFirst ? Start.find('\n') + 1 : Start.size();
+  std::string Answer = Start;
+  return Answer.insert(At, Line + "\r\n") + End;
+}
+
 void checkIsNoAnswer(const std::string &Answer) {
   CAPTURE(Answer);
   for (const std::size_t Step : {Answer.size(), std::size_t{7}, std::size_t{1}})
@@ -77,9 +85,8 @@
          {std::string(1, Byte) + "X-Name", std::string("X-") + Byte + "Name",
           std::string("X-Name") + Byte, std::string(1, Byte)})
       for (const std::string &End : Ends) {
-        checkIsNoAnswer(Start + Name + ": v\r\n" + End);
-        checkIsNoAnswer("HTTP/1.1 200 OK\r\n" + Name + ": v\r\n" +
-                        "X-Id: a\r\nX-Proof: p\r\n" + End);
+        checkIsNoAnswer(answerWith(Name + ": v", End));
+        checkIsNoAnswer(answerWith(Name + ": v", End, true));
       }
   }
 }
@@ -91,7 +98,7 @@
         "Content-Length\t: 5", "Content Length: 5",
         "Transfer-Encoding : chunked", " Transfer-Encoding: chunked", " : 5",
         ": 5", "Content-Length"})
-    checkIsNoAnswer(Start + Line + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    checkIsNoAnswer(answerWith(Line, "\r\n5\r\nwhole\r\n0\r\n\r\n"));
 }
 
 TEST_CASE("a control byte in a field value or a reason spoils its answer") {
@@ -99,9 +106,9 @@
     const char Byte = static_cast<char>(Value);
     if (Byte == '\t')
       continue;
-    checkIsNoAnswer(Start + "X-Name: v" + Byte + "w\r\n" + Ends[0]);
-    checkIsNoAnswer(std::string("HTTP/1.1 200 O") + Byte + "K\r\n" +
-                    Start.substr(Start.find('\n') + 1) + Ends[0]);
+    checkIsNoAnswer(answerWith(std::string("X-Name: v") + Byte, Ends[0]));
+    std::string Answer = answerWith("X-Name: v", Ends[0]);
+    checkIsNoAnswer(Answer.insert(Answer.find("OK") + 1, 1, Byte));
   }
 }
 
@@ -109,8 +116,8 @@
           "not reach the caller") {
   for (const std::string Coding : {"gzip", "gzip, chunked", "chunked, gzip",
                                    "identity", "xchunked", "chunked, chunked"})
-    checkIsNoAnswer(Start + "Transfer-Encoding: " + Coding +
-                    "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    checkIsNoAnswer(answerWith("Transfer-Encoding: " + Coding,
+                               "\r\n5\r\nwhole\r\n0\r\n\r\n"));
   checkIsNoAnswer(Start + "Transfer-Encoding: chunked\r\n"
                           "Transfer-Encoding: gzip\r\n\r\n"
                           "5\r\nwhole\r\n0\r\n\r\n");
@@ -122,10 +129,8 @@
          {std::size_t{1000}, std::size_t{7}, std::size_t{1}}) {
       CAPTURE(End);
       CAPTURE(Step);
-      CHECK(isTakenForWhole(Start +
-                                "X-Empty:\r\nX-!#$%&'*+-.^_`|~0: \xc3\xa9 "
-                                "\t v\r\n" +
-                                End,
-                            Step));
+      CHECK(isTakenForWhole(
+          answerWith("X-Empty:\r\nX-!#$%&'*+-.^_`|~0: \xc3\xa9 \t v", End),
+          Step));
     }
 }
