Instance client: log why an answer was rejected

An operator saw "broken" for an answer that the reader rejected and for one that broke off. The gate now logs "answer rejected" with the fault (malformed, header too large, body too large). response_reader::acceptHead has its name from what it does; a test prints its status as text.

--- a/modules/clementine_proxy/gate/instance_connection.cpp
+++ b/modules/clementine_proxy/gate/instance_connection.cpp
@@ -153,14 +153,24 @@
       Error == asio::error::eof ? endOfInput() : Reader->read(Input);
   if (Progress == read_progress::Complete)
     return answered(Reader->take(), Error == asio::error::eof);
-  if (Error || Progress == read_progress::Failed)
+  if (Error || Progress == read_progress::Failed) {
+    logRejection();
     return end(run_outcome::Unknown, run_cause::NoValidResponse);
+  }
   setBufferedBytes(Input.size() + Reader->bodyBytes());
   if (Client.abortsLargestResponse(*this))
     return;
   read();
 }
 
+/// An answer that breaks off is left to the log of the run.
+void instance_connection::logRejection() const {
+  const read_fault Fault = Reader->fault();
+  if (Fault != read_fault::None && Fault != read_fault::Truncated)
+    log().warning("answer rejected",
+                  {{"id", RequestId}, {"fault", readFaultName(Fault)}});
+}
+
 void instance_connection::setBufferedBytes(std::uint64_t Count) {
   const std::uint64_t Before = std::exchange(BufferedBytes, Count);
   Client.bufferedBytesChanged(Before, Count);
--- a/modules/clementine_proxy/gate/instance_connection.h
+++ b/modules/clementine_proxy/gate/instance_connection.h
@@ -57,6 +57,7 @@
   void send();
   void read();
   void readDone(const boost::system::error_code &Error);
+  void logRejection() const;
   void setBufferedBytes(std::uint64_t Count);
   read_progress endOfInput();
   void answered(response Answer, bool HasEnded);
--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -267,7 +267,7 @@
                                HasReadHead ? nullptr : &Head);
     if (Error && Error != http::error::need_more)
       return fail(faultOf(Error));
-    if (!HasReadHead && Parser->Beast.is_header_done() && !isHeadAcceptable())
+    if (!HasReadHead && Parser->Beast.is_header_done() && !acceptHead())
       return fail(read_fault::Malformed);
     const bool IsDone = Parser->Beast.is_done();
     if ((!IsDone && Buffer.size() > MaxResponseHeaderBytes) ||
@@ -287,10 +287,10 @@
   return read_progress::Incomplete;
 }
 
-/// Checks the head that was just read. The parser joins a line that begins with
-/// a blank to the one before it, so that the lines have to be checked as they
-/// came.
-bool response_reader::isHeadAcceptable() {
+/// Checks the head that was just read, and forgets its bytes. The parser joins
+/// a line that begins with a blank to the one before it, so that the lines have
+/// to be checked as they came.
+bool response_reader::acceptHead() {
   const std::string Lines = std::exchange(Head, {});
   return hasOnlyFieldLines(Lines) && hasPossibleStatus(Parser->Beast.get()) &&
          isOnlyChunked(Parser->Beast.get());
--- a/modules/clementine_proxy/http/message_reader.h
+++ b/modules/clementine_proxy/http/message_reader.h
@@ -108,7 +108,7 @@
   struct parser;
 
   read_progress fail(read_fault Reason);
-  bool isHeadAcceptable();
+  bool acceptHead();
   void reset();
 
   const bool IsForHead;
--- a/tests/users_platform/test_broken_answers.cpp
+++ b/tests/users_platform/test_broken_answers.cpp
@@ -31,7 +31,7 @@
 
 TEST_CASE("a status that the store does not use does not say that a write was "
           "not applied") {
-  for (const char *Status :
+  for (const std::string Status :
        {"000", "099", "101", "201", "202", "204", "302", "600", "999"}) {
     CAPTURE(Status);
     broken_store Broken(answerOf(Status, "", R"({"revision":7})"));
