Stand-in mesh: two threads never give two requests the same id

Cause: local_mesh::call() counted up and then read the counter again for the id, so that of the twelve threads of the test two could take the same id; the instances counted the runs of both as those of one request. The logs of the failing run were not kept.

Change: the id is made from the result of the increment. The checks stay as they were.

--- a/extras/stand_in_users_platform/local_mesh.cpp
+++ b/extras/stand_in_users_platform/local_mesh.cpp
@@ -229,8 +229,8 @@
 http_client::answer local_mesh::call(const std::string &Machine,
                                      const std::string &Path,
                                      const std::string &Method) {
-  ++LastCall;
-  return call(Machine, Path, Method, lastId(),
+  const unsigned Number = ++LastCall;
+  return call(Machine, Path, Method, idOf(Number),
               http_client::connection::SingleUse);
 }
 
--- a/extras/stand_in_users_platform/local_mesh.h
+++ b/extras/stand_in_users_platform/local_mesh.h
@@ -64,7 +64,8 @@
   /// probes with 200 and serves calls to front and archive.
   bool awaitReady();
 
-  /// Sends a request with a new id to the node of @p Machine.
+  /// Sends a request with a new id to the node of @p Machine. May be called
+  /// from several threads.
   /// @returns the response; status 0 if none was received completely.
   http_client::answer call(const std::string &Machine, const std::string &Path,
                            const std::string &Method = "GET");
@@ -73,7 +74,7 @@
                            const std::string &Method, const std::string &Id,
                            http_client::connection Connection);
   /// @returns the id that call() generated last; for use by a single thread.
-  std::string lastId() const { return "call-" + std::to_string(LastCall); }
+  std::string lastId() const { return idOf(LastCall); }
   /// @returns whether the node reports that it is ready.
   bool isReady(const std::string &Machine);
 
@@ -111,6 +112,9 @@
     std::unique_ptr<app_instance> Instance;
   };
 
+  static std::string idOf(unsigned Call) {
+    return "call-" + std::to_string(Call);
+  }
   std::string fileOf(const std::string &Machine, const char *Extension) const;
   endpoint storeAddress() const;
   /// @returns the address at which others reach @p Port of @p Machine: that of
