--- a/review/stand-ins-3/stand_ins.py
+++ b/review/stand-ins-3/stand_ins.py
@@ -158,6 +158,7 @@
         self.events = []
         self.leases = {}
         self.next_lease = 100
+        self.away = False
         super().__init__(address)
         threading.Thread(target=self._expire, daemon=True).start()
 
@@ -165,6 +166,10 @@
         while not self.stopping:
             time.sleep(0.1)
             with self.condition:
+                if self.away:  # Leases pause.
+                    self.leases = {lease: (ttl, end + 0.1)
+                                   for lease, (ttl, end) in self.leases.items()}
+                    continue
                 now = time.monotonic()
                 for lease in [l for l, (_, end) in self.leases.items() if end < now]:
                     self._end_lease(lease)
@@ -194,6 +199,12 @@
         with self.condition:
             self._apply([(key, text, 0)], [])
 
+    def set_away(self, is_away):
+        """Turns all calls away with 503, which means that nothing was done."""
+        with self.condition:
+            self.away = is_away
+            self.condition.notify_all()
+
     def value_of(self, key):
         with self.condition:
             item = self.items.get(key)
@@ -211,6 +222,8 @@
 
     def _call(self, method, path, query, content):
         with self.condition:
+            if self.away:
+                return 503, {}
             if path == "kv-key":
                 item = self.items.get(query.get("key", ""))
                 return (200, dict(item, at=self.revision)) if item else (404, {})
@@ -253,6 +266,8 @@
             found = [e for e in self.events
                      if e["revision"] > after and e["key"].startswith(prefix)]
             left = end - time.monotonic()
+            if self.away:
+                raise ConnectionError("a waiting watch is cut")
             if found or left <= 0 or self.stopping:
                 return {"events": found, "at": self.revision}
             self.condition.wait(left)
@@ -312,27 +327,34 @@
         self.lock = threading.Lock()
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.state = "ready"
+        self.reports = True
         super().__init__(machine.application)
         threading.Thread(target=self._report_forever, daemon=True).start()
 
     def _report_forever(self):
-        while not self.stopping:
-            try:
-                self.report()
-            except (OSError, ValueError):
-                time.sleep(0.2)
-                continue
-            time.sleep(1.5)
+        while not self.stopping and self.reports:
+            confirmed = self.send(self.next_report())
+            time.sleep(1.5 if confirmed else 0.2)
 
-    def report(self):
+    def next_report(self):
+        """The call and body of the next status report."""
         self.sequence += 1
-        body = {"service": self.machine.service, "address": "%s:%d" % self.address,
-                "zone": self.machine.zone, "version": "v1", "slots": self.slots,
-                "state": self.state, "cold_remaining_ms": 0,
-                "sequence": self.sequence, "born": self.born}
+        return "Heartbeat", {
+            "service": self.machine.service, "address": "%s:%d" % self.address,
+            "zone": self.machine.zone, "version": "v1", "slots": self.slots,
+            "state": "ready", "cold_remaining_ms": 0, "sequence": self.sequence,
+            "born": self.born}
+
+    def deregister(self):
+        """Reports no more and deregisters; tells whether that was confirmed."""
+        self.reports = False
+        return self.send(("Deregister", {"born": self.born}))
+
+    def send(self, call):
+        """Sends a call to the node; tells whether it was confirmed."""
+        name, body = call
         reply = call_once(self.machine.control, "POST",
-                          "/clementinecove/Instances.Heartbeat/" + self.ident,
+                          f"/clementinecove/Instances.{name}/{self.ident}",
                           [("Content-Type", "application/json")],
                           json.dumps(body).encode(), timeout=1.0)
         return reply is not None and reply.first.split(" ")[1] == "200"
@@ -419,10 +441,11 @@
     passed on to an instance, and whose connection was closed without an answer.
     """
 
-    def __init__(self, name, mesh, address, record, host, paths, deadline_ms=5000):
+    def __init__(self, name, mesh, address, record, host, paths, deadline_ms=5000,
+                 pause_s=0.0):
         self.name, self.mesh, self.address = name, mesh, address
         self.record, self.host, self.paths = record, host, paths
-        self.deadline_ms = deadline_ms
+        self.deadline_ms, self.pause_s = deadline_ms, pause_s
         self.stopping = False
         self.answered = 0
         self.lost = []
@@ -456,6 +479,7 @@
                 continue
             uses += 1
             self.answered += 1
+            time.sleep(self.pause_s)
             self.record.line("answered", name, answer.first)
             if answer.header("Connection", "").lower() == "close":
                 client.close()
@@ -487,8 +511,8 @@
     def _settings(self):
         fields = {
             "node_name": self.name, "zone": self.zone, "service": self.service,
-            "bounds.grace_period_s": 6, "bounds.budget_window_s": 10,
-            "bounds.budget_ratio": 0.2,
+            "bounds.grace_period_s": self.mesh.grace_period_s,
+            "bounds.budget_window_s": 10, "bounds.budget_ratio": 0.2,
             "application_address": "%s:%d" % self.application,
             "listen_addresses.outbound": "%s:%d" % self.outbound,
             "listen_addresses.control": "%s:%d" % self.control,
@@ -553,6 +577,7 @@
             host = self.network + str(index + 1)
             self.machines[name] = Machine(self, name, zone, service, host)
         self.work_s, self.body, self.slots = work_s, body, slots
+        self.grace_period_s = 6
         self.guarding = False
 
     def configure(self, number, routes, limits=None):
