--- a/review/stand-ins-3/stand_ins.py
+++ b/review/stand-ins-3/stand_ins.py
@@ -2,7 +2,7 @@
 
 They speak what the users' protocol page says: a key-value store with leases and
 watches, application instances with their reports, clients, and a platform that
-starts, probes and limits the nodes. All of it listens on loopback addresses.
+starts and probes the nodes. All of it listens on loopback addresses.
 """
 
 import base64
@@ -10,14 +10,14 @@
 import json
 import os
 import re
-import signal
+import shutil
 import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 DAEMON = os.path.join(ROOT, "target", "bin", "clementined")
@@ -205,11 +205,6 @@
             self.away = is_away
             self.condition.notify_all()
 
-    def value_of(self, key):
-        with self.condition:
-            item = self.items.get(key)
-            return base64.b64decode(item["value"]).decode() if item else None
-
     def answer(self, request):
         method, target, _ = request.first.split(" ", 2)
         parts = urlsplit(target)
@@ -504,9 +499,6 @@
         self.process = None
         self.starts = 0
         self.log = None
-        self.memory_mb = 260
-        self.peak_mb = 0.0
-        self.killed_for_memory = []
 
     def _settings(self):
         fields = {
@@ -538,23 +530,6 @@
                 stdin=subprocess.DEVNULL, cwd=ROOT)
         self.mesh.record.line("node-start", self.name, "pid", self.process.pid)
 
-    def kill(self):
-        self.process.kill()
-        self.process.wait()
-        self.mesh.record.line("node-killed", self.name)
-
-    def signal(self, number):
-        os.kill(self.process.pid, number)
-        self.mesh.record.line("node-signal", self.name, number)
-
-    def resident_mb(self):
-        try:
-            with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as statm:
-                pages = int(statm.read().split()[1])
-            return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
-        except (OSError, IndexError, ValueError):
-            return 0.0
-
     def is_ready(self):
         reply = call_once(self.ready, "GET", "/clementinecove/readiness", timeout=1.0)
         return reply is not None and reply.first.split(" ")[1] == "200"
@@ -578,7 +553,6 @@
             self.machines[name] = Machine(self, name, zone, service, host)
         self.work_s, self.body, self.slots = work_s, body, slots
         self.grace_period_s = 6
-        self.guarding = False
 
     def configure(self, number, routes, limits=None):
         """Writes a desired state; routes: (name, host, prefix, kind, service,
@@ -621,29 +595,6 @@
             time.sleep(0.2)
         return False
 
-    def guard_memory(self, restart_after_s=1.0):
-        """Ends a process that exceeds its memory, and starts it again."""
-        self.guarding = True
-
-        def watch(machine):
-            while self.guarding:
-                used = machine.resident_mb()
-                machine.peak_mb = max(machine.peak_mb, used)
-                if used > machine.memory_mb:
-                    machine.process.kill()
-                    machine.process.wait()
-                    machine.killed_for_memory.append(time.monotonic())
-                    self.record.line("platform-killed", machine.name,
-                                     f"resident {used:.0f} MB of",
-                                     machine.memory_mb)
-                    time.sleep(restart_after_s)
-                    if self.guarding:
-                        machine.start()
-                time.sleep(0.002)
-
-        for machine in self.machines.values():
-            threading.Thread(target=watch, args=(machine,), daemon=True).start()
-
     def ended_by_themselves(self):
         """The machines whose process has ended without a signal of the test."""
         return {name: machine.process.poll()
@@ -658,7 +609,6 @@
         return re.sub(r"/[\w./-]*/", "", lines[-1]) if lines else ""
 
     def stop(self):
-        self.guarding = False
         for machine in self.machines.values():
             if machine.process and machine.process.poll() is None:
                 machine.process.kill()
@@ -666,6 +616,7 @@
         for instance in self.instances.values():
             instance.stop()
         self.store.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def free_port(network):
