--- a/review/stand-ins-3/stand_ins.py
+++ b/review/11/stand_ins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the users' platform, for the scripts below review/.
+"""Stand-ins for the users' platform, for the cases review/11 to review/15.
 
 They speak what the users' protocol page says: a key-value store with leases and
 watches, application instances with their reports, clients, and a platform that
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -13,7 +13,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..",
-                                "stand-ins-3"))
+                                "11"))
 from stand_ins import BROKEN, COULD_NOT_RUN, HELD, Client, Mesh, main  # noqa: E402
 
 HOST = "desk.example"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # there is nothing to compile; their syntax is checked.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - stand-ins-3/*.py 1[1-5]/*.py <<'CHECK'
+python3 - 1[1-5]/*.py <<'CHECK'
 import sys
 for path in sys.argv[1:]:
     with open(path, encoding="utf-8") as source:
