Message readers: no input shorter than the end of a body in chunks is parsed

Cause: Boost.Beast asserts, on its next call behind the line of the last chunk, that five bytes are there, the shortest end of a body. The readers gave it whatever they had: the same bytes again at the end of a connection or behind an answer, or one byte more.

Change: the readers keep input of a body in chunks that is shorter than any end of one until more has come. All listeners and the connection to the instance use these readers, so that no caller of theirs can reach the assertion; links between nodes and the own interface's sessions look at complete frames only.

--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -33,6 +33,20 @@
   return ConsumedBytes > Allowed;
 }
 
+/// The shortest end of a body in chunks: a last chunk without a trailer.
+constexpr std::size_t MinChunkedEndBytes = std::string_view("0\r\n\r\n").size();
+
+/// Whether @p Target can use its input if only @p Bytes of it are there. In a
+/// body in chunks the parser asserts that the end of the message is complete
+/// when it is given input behind the line of the last chunk, so that input too
+/// short for any end is kept until more has come.
+template <class Parser>
+bool canUseInput(const Parser &Target, std::size_t Bytes) {
+  if (Target.is_header_done() && Target.chunked())
+    return Bytes >= MinChunkedEndBytes;
+  return Bytes > 0;
+}
+
 /// Feeds @p Buffer to the parser @p Target and removes the consumed bytes.
 /// @returns the last error; need_more for an incomplete message. A field that
 /// is longer than the parser can store, which it reports by an exception,
@@ -45,7 +59,7 @@
                                  std::string *Copy = nullptr) try {
   std::size_t Offset = 0;
   boost::beast::error_code Error;
-  while (!Target.is_done() && Offset < Buffer.size()) {
+  while (!Target.is_done() && canUseInput(Target, Buffer.size() - Offset)) {
     const std::size_t Consumed = Target.put(
         boost::asio::buffer(Buffer.data() + Offset, Buffer.size() - Offset),
         Error);
--- a/tests/proxy/test_session.cpp
+++ b/tests/proxy/test_session.cpp
@@ -155,6 +155,31 @@
   Test.Handler.respond(0);
 }
 
+// The node aborted when the answer made it read the partial request once more:
+// review/12.
+TEST_CASE("a request in chunks whose end comes late, behind a request that is "
+          "answered meanwhile, is served") {
+  const std::string Late = "PUT /late HTTP/1.1\r\nHost: h\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  for (std::size_t Missing = 1; Missing <= 5; ++Missing) {
+    CAPTURE(Missing);
+    fixture Test;
+    Test.send(fixture::requestFor("/first") +
+              Late.substr(0, Late.size() - Missing));
+    REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 1; }));
+    Test.Handler.respond(0);
+    Test.receive("/first");
+    for (std::size_t Left = Missing; Left > 0; --Left) {
+      Test.send(Late.substr(Late.size() - Left, 1));
+      Test.Loop.restart();
+      Test.Loop.run_for(std::chrono::milliseconds(2));
+    }
+    REQUIRE(Test.runUntil([&] { return Test.Handler.Requests.size() == 2; }));
+    Test.Handler.respond(1);
+    CHECK(Test.receive("/late").find("200") != std::string::npos);
+  }
+}
+
 TEST_CASE("requests after one with Connection: close are not handled") {
   fixture Test;
   Test.send("GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" +
