Registration: a run proves by a second report that it has not left

Cause: a node confirms a departure that stands in its memory alone.

Change: the first report of a run that a process does not know is answered with 503 and counts for nothing; the next one of that run, with a higher sequence, lets the instance take work. An instance that has left sends none. It needs neither the store nor another node. A repeat of the first report is confirmed and has no effect; draining reports and deregistrations count at once.

Ruled out: to confirm later, or to call the store until the end of a stop: neither helps while the store is away and all nodes are killed.

Two cases of test_mesh now send two delayed reports, as one alone no longer shows that the departure is remembered.

--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned ServerError = 500;
 constexpr long Ok = 200;
 constexpr std::chrono::milliseconds ReportInterval{200};
+/// How long it waits before it repeats a call that was not confirmed.
+constexpr std::chrono::milliseconds ReportRetryDelay{50};
 constexpr std::chrono::milliseconds ReportTimeout{1000};
 constexpr std::chrono::milliseconds CallTimeout{2000};
 
@@ -154,14 +156,26 @@
   return report();
 }
 
+bool app_instance::deregister() {
+  ReportsPaused = true;
+  const nlohmann::json Body = {{"born", Settings.StartedAt}};
+  const auto Answer =
+      Client.send("POST",
+                  "http://" + Settings.Control.text() +
+                      "/clementinecove/Instances.Deregister/" + Settings.Id,
+                  {"Content-Type: application/json"}, Body.dump(),
+                  ReportTimeout, http_client::connection::SingleUse);
+  return Answer && Answer->Status == Ok;
+}
+
 void app_instance::sendReportsUntilStopped() {
   std::unique_lock Lock(Mutex);
   while (!Stopping) {
     Lock.unlock();
-    if (!ReportsPaused)
-      report();
+    const bool IsConfirmed = ReportsPaused || report();
     Lock.lock();
-    Changed.wait_for(Lock, ReportInterval, [this] { return Stopping; });
+    Changed.wait_for(Lock, IsConfirmed ? ReportInterval : ReportRetryDelay,
+                     [this] { return Stopping; });
   }
 }
 
--- a/extras/stand_in_users_platform/app_instance.h
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -79,11 +79,18 @@
   /// @returns whether the node has confirmed.
   bool drain();
 
+  /// Sends no further report and deregisters; serves on.
+  /// @returns whether the node has confirmed.
+  bool deregister();
+
   /// Stops the periodic reports.
   void pauseReports() { ReportsPaused = true; }
   /// Sends a report from before any draining, as if it had been delayed.
+  /// @param Number of the report; reports are numbered from 1 on.
   /// @returns whether the node has confirmed.
-  bool sendStaleReadyReport() { return report("ready", 1); }
+  bool sendStaleReadyReport(std::uint64_t Number = 1) {
+    return report("ready", Number);
+  }
 
   const std::string &id() const { return Settings.Id; }
 
--- a/modules/clementine_proxy/gate/instance_registration.cpp
+++ b/modules/clementine_proxy/gate/instance_registration.cpp
@@ -12,6 +12,8 @@
     return "outdated";
   case report_verdict::Foreign:
     return "foreign";
+  case report_verdict::Unproven:
+    return "unproven";
   }
   return "unknown";
 }
@@ -27,12 +29,29 @@
     return report_verdict::Outdated;
   if (Report.State == instance_state::Draining)
     recordDeparture(Report.Instance, Report.StartedAt);
+  else if (RequiresProof && !IsSameRun &&
+           !hasDeparted({Report.Instance, Report.StartedAt}))
+    if (const report_verdict Verdict = verify(Report);
+        Verdict != report_verdict::Accepted)
+      return Verdict;
+  Candidate.reset();
   Current = Report;
   if (hasDeparted({Report.Instance, Report.StartedAt}))
     Current->State = instance_state::Draining;
   return report_verdict::Accepted;
 }
 
+/// Accepts a report that follows another one of its run.
+report_verdict instance_registration::verify(const instance_report &Report) {
+  const instance_run Run{Report.Instance, Report.StartedAt};
+  if (!Candidate || Candidate->Run != Run) {
+    Candidate = candidate{Run, Report.Sequence};
+    return report_verdict::Unproven;
+  }
+  return Report.Sequence > Candidate->Sequence ? report_verdict::Accepted
+                                               : report_verdict::Outdated;
+}
+
 bool instance_registration::deregister(const std::string &Instance,
                                        std::int64_t StartedAt) {
   recordDeparture(Instance, StartedAt);
--- a/modules/clementine_proxy/gate/instance_registration.h
+++ b/modules/clementine_proxy/gate/instance_registration.h
@@ -18,6 +18,10 @@
   Outdated,
   /// It names another service or address than those of this node's instance.
   Foreign,
+  /// It may be a delayed report of a run whose departure a former process of
+  /// this node has confirmed. A later report of that run proves that it has not
+  /// left.
+  Unproven,
 };
 
 /// @returns the lower-case name of @p Verdict for logs.
@@ -29,6 +33,12 @@
 /// Runs of an instance are ordered by their start time, reports of one run by
 /// their sequence number. A run that has deregistered or drained never becomes
 /// ready again, even if a delayed report says so.
+///
+/// What a former process of this node has confirmed may be known to nobody any
+/// more: it was killed before it could store it, or the store was away and the
+/// nodes that it told have ended, too. So that no delayed report undoes such a
+/// departure, a run becomes ready only with its second report. An instance that
+/// has left sends no further one.
 class instance_registration {
 public:
   /// @param Service the service of this node's instance.
@@ -46,9 +56,14 @@
   /// @returns whether it was the current run.
   bool deregister(const std::string &Instance, std::int64_t StartedAt);
 
-  /// Reports no instance as ready until release(). Used while it is not yet
-  /// known which departure a former process of this node has confirmed.
-  void hold() { IsHeld = true; }
+  /// Prepares for the reports of instances that a former process of this node
+  /// may have known: from now on a run has to prove that it has not left, and
+  /// no instance is reported as ready until release(). Used while it is not yet
+  /// known which departure that process has stored.
+  void hold() {
+    IsHeld = true;
+    RequiresProof = true;
+  }
   void release() { IsHeld = false; }
   bool isHeld() const { return IsHeld; }
 
@@ -70,7 +85,14 @@
 private:
   static constexpr std::size_t MaxDeparted = 64;
 
+  /// The first report of a run that is not proven yet.
+  struct candidate {
+    instance_run Run;
+    std::uint64_t Sequence = 0;
+  };
+
   void recordDeparture(const std::string &Instance, std::int64_t StartedAt);
+  report_verdict verify(const instance_report &Report);
 
   const std::string Service;
   const endpoint Address;
@@ -79,7 +101,9 @@
   /// MaxDeparted latest ones.
   std::map<std::string, std::int64_t> Departed;
   std::optional<instance_run> LastDeparted;
+  std::optional<candidate> Candidate;
   bool IsHeld = false;
+  bool RequiresProof = false;
 };
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/deployment_adapter.h
+++ b/modules/clementine_proxy/node/deployment_adapter.h
@@ -51,6 +51,16 @@
 using instance_call_content =
     std::variant<instance_report, instance_departure, unknown_call>;
 
+/// How a node responds to a call of the local instance.
+enum class instance_call_verdict : std::uint8_t {
+  /// It has taken effect.
+  Confirmed,
+  /// The report has no effect; the instance has to report again at once.
+  ReportAgain,
+  /// It does not concern this node.
+  Foreign,
+};
+
 /// Translates between a deployment's formats and the types of this module.
 /// Contains only names and formats, no decisions.
 class deployment_adapter {
--- a/modules/clementine_proxy/node/instance_report_handler.cpp
+++ b/modules/clementine_proxy/node/instance_report_handler.cpp
@@ -4,7 +4,8 @@
 
 namespace clementine::proxy {
 
-bool instance_report_handler::handle(const instance_call_content &Content) {
+instance_call_verdict
+instance_report_handler::handle(const instance_call_content &Content) {
   if (const auto *Report = std::get_if<instance_report>(&Content))
     return handleReport(*Report);
   return handleDeparture(std::get<instance_departure>(Content));
@@ -33,17 +34,18 @@
   Changed(false);
 }
 
-bool instance_report_handler::handleDeparture(
-    const instance_departure &Departure) {
+instance_call_verdict
+instance_report_handler::handleDeparture(const instance_departure &Departure) {
   const bool IsPresent =
       Registration.deregister(Departure.Instance, Departure.StartedAt);
   Log.info("instance deregistered",
            {{"instance", Departure.Instance}, {"present", IsPresent ? 1 : 0}});
   Changed(false);
-  return true;
+  return instance_call_verdict::Confirmed;
 }
 
-bool instance_report_handler::handleReport(const instance_report &Report) {
+instance_call_verdict
+instance_report_handler::handleReport(const instance_report &Report) {
   const auto Before = Registration.current();
   const report_verdict Verdict = Registration.report(Report);
   const bool IsNewRun = !Before || Before->Instance != Report.Instance ||
@@ -61,10 +63,12 @@
               {"sequence", Report.Sequence},
               {"slots", Report.Slots}});
   if (Verdict == report_verdict::Foreign)
-    return false;
+    return instance_call_verdict::Foreign;
+  if (Verdict == report_verdict::Unproven)
+    return instance_call_verdict::ReportAgain;
   if (Verdict == report_verdict::Accepted)
     Changed(IsNewRun);
-  return true;
+  return instance_call_verdict::Confirmed;
 }
 
 } // namespace clementine::proxy
--- a/modules/clementine_proxy/node/instance_report_handler.h
+++ b/modules/clementine_proxy/node/instance_report_handler.h
@@ -35,12 +35,11 @@
 
   /// Handles a call of the instance; its effect is complete when this returns.
   /// @param Content a report or a departure.
-  /// @returns whether the content concerns this node.
-  bool handle(const instance_call_content &Content);
+  instance_call_verdict handle(const instance_call_content &Content);
 
 private:
-  bool handleReport(const instance_report &Report);
-  bool handleDeparture(const instance_departure &Departure);
+  instance_call_verdict handleReport(const instance_report &Report);
+  instance_call_verdict handleDeparture(const instance_departure &Departure);
 
   instance_registration &Registration;
   const listener Changed;
--- a/modules/clementine_proxy/node/operator_endpoints.cpp
+++ b/modules/clementine_proxy/node/operator_endpoints.cpp
@@ -15,6 +15,18 @@
   return Answer;
 }
 
+unsigned statusOf(instance_call_verdict Verdict) {
+  switch (Verdict) {
+  case instance_call_verdict::Confirmed:
+    return Ok;
+  case instance_call_verdict::ReportAgain:
+    return Unavailable;
+  case instance_call_verdict::Foreign:
+    return BadRequest;
+  }
+  return BadRequest;
+}
+
 } // namespace
 
 response control_endpoint::answerTo(const request &Request) {
@@ -26,8 +38,9 @@
   }
   if (std::holds_alternative<unknown_call>(Content.value()))
     return statusOnly(NotFound);
-  if (!Listener(Content.value()))
-    return statusOnly(BadRequest);
+  const unsigned Status = statusOf(Listener(Content.value()));
+  if (Status != Ok)
+    return statusOnly(Status);
   response Answer = statusOnly(Ok);
   Answer.Headers.emplace_back("Content-Type", "application/json");
   Answer.Body = "{}";
--- a/modules/clementine_proxy/node/operator_endpoints.h
+++ b/modules/clementine_proxy/node/operator_endpoints.h
@@ -23,12 +23,13 @@
 };
 
 /// Receives the calls of the local instance. Responds with 200 to its reports
-/// and deregistrations, 400 to malformed calls and reports of another service
-/// or address, and 404 to unknown calls.
+/// and deregistrations, 503 to a report that has to be followed by another
+/// before it counts, 400 to malformed calls and reports of another service or
+/// address, and 404 to unknown calls.
 class control_endpoint final : public local_endpoint {
 public:
-  /// @returns whether the content concerns this node.
-  using listener = std::function<bool(const instance_call_content &)>;
+  using listener =
+      std::function<instance_call_verdict(const instance_call_content &)>;
 
   /// @param Adapter has to outlive the handler.
   control_endpoint(const deployment_adapter &Adapter, listener Listener)
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -161,13 +161,53 @@
   instance_registration Next("svc", {"127.0.0.1", 80});
   Next.hold();
   // A report from before the departure is delayed.
-  CHECK(Next.report(reportOf("i-1", 5, 1)) == report_verdict::Accepted);
+  CHECK(Next.report(reportOf("i-1", 5, 1)) == report_verdict::Unproven);
   CHECK(Next.ready() == nullptr);
   Next.deregister(Former.lastDeparture()->Instance,
                   Former.lastDeparture()->StartedAt);
   Next.release();
   CHECK(Next.ready() == nullptr);
-  CHECK(Next.report(reportOf("i-2", 6, 1)) == report_verdict::Accepted);
+  CHECK(Next.report(reportOf("i-1", 5, 2)) == report_verdict::Accepted);
+  CHECK(Next.ready() == nullptr);
+  CHECK(Next.report(reportOf("i-2", 6, 1)) == report_verdict::Unproven);
+  CHECK(Next.report(reportOf("i-2", 6, 2)) == report_verdict::Accepted);
+  CHECK(Next.ready() != nullptr);
+}
+
+// Nobody remembers it: review/6, review/7 and review/13.
+TEST_CASE("a delayed report does not undo a departure that only a former "
+          "process of the node knew") {
+  instance_registration Next("svc", {"127.0.0.1", 80});
+  Next.hold();
+  Next.release();
+  for (int Copy = 0; Copy < 3; ++Copy) {
+    CHECK(Next.report(reportOf("i-1", 5, 9)) != report_verdict::Accepted);
+    CHECK(Next.ready() == nullptr);
+  }
+  SUBCASE("nor one that was sent before it") {
+    CHECK(Next.report(reportOf("i-1", 5, 8)) == report_verdict::Outdated);
+  }
+  SUBCASE("nor a draining report of that run") {
+    CHECK(Next.report(reportOf("i-1", 5, 10, instance_state::Draining)) ==
+          report_verdict::Accepted);
+    CHECK(Next.report(reportOf("i-1", 5, 11)) == report_verdict::Accepted);
+  }
+  SUBCASE("nor a report of another run") {
+    CHECK(Next.report(reportOf("i-2", 6, 1)) == report_verdict::Unproven);
+    CHECK(Next.report(reportOf("i-1", 5, 9)) == report_verdict::Unproven);
+  }
+  CHECK(Next.ready() == nullptr);
+}
+
+TEST_CASE("an instance that reports on after a restart of its node is ready "
+          "with its second report") {
+  instance_registration Next("svc", {"127.0.0.1", 80});
+  Next.hold();
+  Next.release();
+  CHECK(Next.report(reportOf("i-1", 5, 9)) == report_verdict::Unproven);
+  CHECK(Next.report(reportOf("i-1", 5, 11)) == report_verdict::Accepted);
+  REQUIRE(Next.ready() != nullptr);
+  CHECK(Next.report(reportOf("i-1", 5, 12)) == report_verdict::Accepted);
   CHECK(Next.ready() != nullptr);
 }
 
@@ -175,6 +215,7 @@
   instance_registration Registration("svc", {"127.0.0.1", 80});
   Registration.hold();
   Registration.report(reportOf("i-1", 5, 1));
+  Registration.report(reportOf("i-1", 5, 2));
   CHECK(Registration.ready() == nullptr);
   Registration.release();
   CHECK(Registration.ready() != nullptr);
--- a/tests/users_process/test_mesh.cpp
+++ b/tests/users_process/test_mesh.cpp
@@ -58,8 +58,9 @@
     }));
   }
 
-  // A ready report from before the drain may reach the node's next process
-  // late; it must not undo the drain that the previous process confirmed.
+  // Ready reports from before the drain may reach the node's next process late;
+  // they must not undo the drain that the previous process confirmed. Two of
+  // them look like those of an instance that has not left.
   SUBCASE("a confirmed drain still holds for the next process of the node") {
     app_instance &Instance = Mesh.instance("archive-east");
     REQUIRE(Instance.drain());
@@ -72,7 +73,8 @@
     }));
     Mesh.node("archive-east").kill();
     Mesh.startNode("archive-east");
-    REQUIRE(await([&] { return Instance.sendStaleReadyReport(); }));
+    for (const std::uint64_t Number : {1, 2})
+      REQUIRE(await([&] { return Instance.sendStaleReadyReport(Number); }));
     REQUIRE(await(
         [&] { return Mesh.call("archive-east", "/archive/1").Status == 200; }));
     const int Before = Mesh.Runs.by("archive-east-1");
@@ -92,7 +94,8 @@
     Instance.pauseReports();
     Mesh.node("archive-east").kill();
     Mesh.startNode("archive-east");
-    REQUIRE(await([&] { return Instance.sendStaleReadyReport(); }));
+    for (const std::uint64_t Number : {1, 2})
+      REQUIRE(await([&] { return Instance.sendStaleReadyReport(Number); }));
     REQUIRE(await([&] {
       return Mesh.logOf("archive-east").find("instances may accept work") !=
              std::string::npos;
