Settings: a duration may be a fraction

Cause: the template writes stop_grace and window from bounds, and a duration had to be a whole number.

Change: a duration is a decimal number with its unit, rounded to nanoseconds; digits stand on both sides of the point, signs and exponents stay refused.

--- a/modules/clementine_settings/values/value_format.cpp
+++ b/modules/clementine_settings/values/value_format.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 
 #include <arpa/inet.h>
@@ -58,29 +59,46 @@
 /// A number and the factor of its unit.
 struct scaled_number {
   std::uint64_t Count;
+  /// What the number has in addition to Count, from 0 to less than 1.
+  double Fraction;
   std::uint64_t Factor;
 };
 
-/// Parses a whole number that is followed by one of the units.
+/// Parses a number that is followed by one of the units. A decimal point has
+/// digits on both sides.
 template <std::size_t Size>
 std::optional<scaled_number>
 parseWithUnit(std::string_view Text, const std::array<unit, Size> &Units) {
-  const auto UnitBegin = std::find_if_not(Text.begin(), Text.end(), isDigit);
-  const auto Digits = static_cast<std::size_t>(UnitBegin - Text.begin());
-  const auto Count = value_format<std::uint64_t>::parse(Text.substr(0, Digits));
-  const std::string_view Name = Text.substr(Digits);
+  const auto UnitBegin = std::find_if(Text.begin(), Text.end(), isLetter);
+  const auto Length = static_cast<std::size_t>(UnitBegin - Text.begin());
+  const std::string_view Number = Text.substr(0, Length);
+  const std::size_t Point = std::min(Number.find('.'), Length);
+  const auto Count =
+      value_format<std::uint64_t>::parse(Number.substr(0, Point));
+  std::optional<double> Fraction = 0.0;
+  if (Point < Length)
+    Fraction =
+        Point + 1 < Length ? parseDecimal(Number.substr(Point)) : std::nullopt;
+  if (!Count || !Fraction)
+    return std::nullopt;
   for (const unit &Unit : Units)
-    if (Count && Unit.Name == Name)
-      return scaled_number{*Count, Unit.Factor};
+    if (Unit.Name == Text.substr(Length))
+      return scaled_number{*Count, *Fraction, Unit.Factor};
   return std::nullopt;
 }
 
-/// @returns the product, or std::nullopt if it exceeds @p Highest.
+/// @returns the product, rounded to a whole number, or std::nullopt if it
+/// exceeds @p Highest.
 std::optional<std::uint64_t> multiply(scaled_number Number,
                                       std::uint64_t Highest) {
   if (Number.Count > Highest / Number.Factor)
     return std::nullopt;
-  return Number.Count * Number.Factor;
+  const std::uint64_t Whole = Number.Count * Number.Factor;
+  const auto Rest = static_cast<std::uint64_t>(
+      std::llround(Number.Fraction * static_cast<double>(Number.Factor)));
+  if (Rest > Highest - Whole)
+    return std::nullopt;
+  return Whole + Rest;
 }
 
 constexpr std::array<unit, 5> DurationUnits = {{
@@ -203,7 +221,7 @@
 std::optional<byte_count>
 value_format<byte_count>::parse(std::string_view Text) {
   const auto Number = parseWithUnit(Text, ByteUnits);
-  if (!Number)
+  if (!Number || Text.find('.') != std::string_view::npos)
     return std::nullopt;
   const auto Bytes =
       multiply(*Number, std::numeric_limits<std::uint64_t>::max());
--- a/modules/clementine_settings/values/value_format.h
+++ b/modules/clementine_settings/values/value_format.h
@@ -49,10 +49,11 @@
   static std::optional<factor> parse(std::string_view Text);
 };
 
-/// A whole number with a unit, such as `250ms`.
+/// A decimal number with a unit, such as `250ms` or `6.5s`, rounded to
+/// nanoseconds.
 template <> struct value_format<duration> {
   static constexpr std::string_view Form =
-      "a duration, a whole number with its unit us, ms, s, min or h";
+      "a duration, a decimal number with its unit us, ms, s, min or h";
   static std::optional<duration> parse(std::string_view Text);
 };
 
--- a/tests/proxy/test_model.cpp
+++ b/tests/proxy/test_model.cpp
@@ -344,6 +344,13 @@
       "f.ini");
   REQUIRE(Translated);
   CHECK(Translated.value().peerAddress().Port == 9);
+  const auto Fractions =
+      readProxySettings(std::string(Good).replace(Good.find("6s"), 2, "6.5s") +
+                            "[repeats]\nwindow = 10.25s\nratio = 0.25\n",
+                        "f.ini");
+  REQUIRE(Fractions);
+  CHECK(Fractions.value().StopGrace == 6500ms);
+  CHECK(Fractions.value().RetryWindow == 10250ms);
 
   const auto Faulty =
       readProxySettings("[node]\nname = n\nzone =\nstrange = 1\n", "f.ini");
