Sessions: each request is held to the limits in force when it begins

Cause: a session copied the limits when its connection was accepted.

Change: it asks for them at the first byte of each request, and for the idle time at each check of it; a request that has begun keeps its limits.

Failed before: the four cases of test_changed_limits.

--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -101,6 +101,8 @@
   while (!IsEnding && !IsClosed && Exchanges.size() < MaxPipelined &&
          Unsent.size() < MaxUnsentBytes) {
     const bool HadPartialRequest = Reader.hasPartialRequest();
+    if (!HadPartialRequest && !Input.empty())
+      updateLimits();
     const read_progress Progress = Reader.read(Input);
     if (Progress == read_progress::Failed)
       return reject(Reader.fault());
@@ -119,6 +121,21 @@
   }
 }
 
+/// A request is held to the limits in force at its first byte.
+void http_session::updateLimits() {
+  const caller_limits Current = bounded(Handler.limits());
+  if (Current == Limits)
+    return;
+  Limits = Current;
+  Reader.setLimits(Limits.MaxHeader, Limits.MaxBody);
+}
+
+/// A lower limit holds from the next request of the client on, which may have
+/// relied on the higher one.
+duration http_session::idleTimeout() const {
+  return std::max(Limits.IdleTimeout, Handler.limits().IdleTimeout);
+}
+
 void http_session::accept(request Request) {
   if (IsClosing)
     log().info("request accepted while the connection is closing",
@@ -315,7 +332,7 @@
     Response.Status = RequestTimeout;
     return complete(Exchange, std::move(Response));
   }
-  if (IsClosing || Now - IdleSince > Limits.IdleTimeout)
+  if (IsClosing || Now - IdleSince > idleTimeout())
     closeIfIdle();
 }
 
--- a/modules/clementine_proxy/http/http_session.h
+++ b/modules/clementine_proxy/http/http_session.h
@@ -30,7 +30,8 @@
   /// disconnects.
   virtual void handle(request Request, responder Respond,
                       disconnect_callback &OnDisconnect) = 0;
-  /// @returns the limits for new connections.
+  /// @returns the limits for requests that begin now. They may change while
+  /// connections are open.
   virtual caller_limits limits() const = 0;
 };
 
@@ -84,6 +85,8 @@
   void read();
   void readDone(const boost::system::error_code &Error, std::size_t Bytes);
   void parse();
+  void updateLimits();
+  duration idleTimeout() const;
   void accept(request Request);
   void reject(read_fault Fault);
   void complete(const std::shared_ptr<exchange> &Exchange, response Response);
@@ -103,7 +106,8 @@
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
   http_handler &Handler;
-  const caller_limits Limits;
+  /// The limits of the request that was begun last.
+  caller_limits Limits;
   request_reader Reader;
   std::array<char, ReadChunkBytes> ReadBuffer;
   std::string Input;
--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -173,14 +173,19 @@
   http::request_parser<http::string_body> Beast;
 };
 
-request_reader::request_reader(std::uint64_t MaxHeader, std::uint64_t MaxBody)
-    : MaxHeader(std::min<std::uint64_t>(MaxHeader, MaxCallerHeaderBytes)),
-      MaxBody(std::min<std::uint64_t>(MaxBody, MaxCallerBodyBytes)) {
-  reset();
+request_reader::request_reader(std::uint64_t MaxHeader, std::uint64_t MaxBody) {
+  setLimits(MaxHeader, MaxBody);
 }
 
 request_reader::~request_reader() = default;
 
+void request_reader::setLimits(std::uint64_t Header, std::uint64_t Body) {
+  assert(!HasPartialRequest && "part of a request has been read");
+  MaxHeader = std::min<std::uint64_t>(Header, MaxCallerHeaderBytes);
+  MaxBody = std::min<std::uint64_t>(Body, MaxCallerBodyBytes);
+  reset();
+}
+
 void request_reader::reset() {
   Parser = std::make_unique<parser>();
   Parser->Beast.eager(true);
--- a/modules/clementine_proxy/http/message_reader.h
+++ b/modules/clementine_proxy/http/message_reader.h
@@ -45,6 +45,10 @@
   request_reader(std::uint64_t MaxHeader, std::uint64_t MaxBody);
   ~request_reader();
 
+  /// Sets the limits of the requests that are read from now on. No part of a
+  /// request may have been read. The parameters are those of the constructor.
+  void setLimits(std::uint64_t MaxHeader, std::uint64_t MaxBody);
+
   request_reader(const request_reader &) = delete;
   request_reader &operator=(const request_reader &) = delete;
 
@@ -68,8 +72,8 @@
   bool isUnambiguous() const;
   void reset();
 
-  const std::uint64_t MaxHeader;
-  const std::uint64_t MaxBody;
+  std::uint64_t MaxHeader = 0;
+  std::uint64_t MaxBody = 0;
   std::unique_ptr<parser> Parser;
   /// Bytes of the current request that were consumed so far.
   std::uint64_t ConsumedBytes = 0;
