Daemon: signals are blocked before the settings are read

Change: the daemon blocks its signals first and takes them once the node runs. A signal before main still ends the process.

Failed before: test_process_start, which holds a process in the reading of its settings and sends it a SIGHUP.

--- a/apps/clementined/main.cpp
+++ b/apps/clementined/main.cpp
@@ -100,13 +100,12 @@
     Log.warning("settings have changed; they take effect at the next start");
 }
 
-int runProxy(const options &Options) {
+int runProxy(const options &Options, const sigset_t &Signals) {
   const auto Settings = proxy::loadProxySettings(Options.SettingsFile);
   if (!Settings)
     return reportFaults(Settings.error());
   if (Options.OnlyChecks)
     return CleanExitCode;
-  const sigset_t Signals = blockStopSignals();
   const log_output Output(standardOutputStream(),
                           levelOf(Settings.value().LogLevel));
   const auto Platform = makeUsersPlatform(Settings.value().StoreAddress);
@@ -120,15 +119,16 @@
 }
 
 int runDaemon(int Count, char **Arguments) {
+  // Before anything that takes time: a SIGHUP would end the process.
+  const sigset_t Signals = blockStopSignals();
   const options Options = readOptions(Count, Arguments);
   if (Options.IsProxy)
-    return runProxy(Options);
+    return runProxy(Options, Signals);
   if (Options.OnlyChecks)
     return checkSettings(Options.SettingsFile, std::cerr);
   const auto Settings = loadSettings(Options.SettingsFile);
   if (Settings.has_error())
     return reportFaults(Settings.error());
-  const sigset_t Signals = blockStopSignals();
   curl_global_init(CURL_GLOBAL_ALL);
   const int Code = runNode(Settings.value(), Signals);
   curl_global_cleanup();
