--- a/modules/clementine_proxy/gate/instance_registration.cpp
+++ b/modules/clementine_proxy/gate/instance_registration.cpp
@@ -29,14 +29,15 @@
     return report_verdict::Outdated;
   if (Report.State == instance_state::Draining)
     recordDeparture(Report.Instance, Report.StartedAt);
-  else if (RequiresProof && !IsSameRun &&
-           !hasDeparted({Report.Instance, Report.StartedAt}))
-    if (const report_verdict Verdict = verify(Report);
-        Verdict != report_verdict::Accepted)
+  const bool HasLeft = hasDeparted({Report.Instance, Report.StartedAt});
+  if (RequiresProof && !IsSameRun && !HasLeft) {
+    const report_verdict Verdict = verify(Report);
+    if (Verdict != report_verdict::Accepted)
       return Verdict;
+  }
   Candidate.reset();
   Current = Report;
-  if (hasDeparted({Report.Instance, Report.StartedAt}))
+  if (HasLeft)
     Current->State = instance_state::Draining;
   return report_verdict::Accepted;
 }
--- a/modules/clementine_proxy/http/message_reader.cpp
+++ b/modules/clementine_proxy/http/message_reader.cpp
@@ -179,10 +179,11 @@
 
 request_reader::~request_reader() = default;
 
-void request_reader::setLimits(std::uint64_t Header, std::uint64_t Body) {
+void request_reader::setLimits(std::uint64_t HeaderBytes,
+                               std::uint64_t BodyBytes) {
   assert(!HasPartialRequest && "part of a request has been read");
-  MaxHeader = std::min<std::uint64_t>(Header, MaxCallerHeaderBytes);
-  MaxBody = std::min<std::uint64_t>(Body, MaxCallerBodyBytes);
+  MaxHeader = std::min<std::uint64_t>(HeaderBytes, MaxCallerHeaderBytes);
+  MaxBody = std::min<std::uint64_t>(BodyBytes, MaxCallerBodyBytes);
   reset();
 }
 
--- a/modules/clementine_proxy/http/message_reader.h
+++ b/modules/clementine_proxy/http/message_reader.h
@@ -46,8 +46,10 @@
   ~request_reader();
 
   /// Sets the limits of the requests that are read from now on. No part of a
-  /// request may have been read. The parameters are those of the constructor.
-  void setLimits(std::uint64_t MaxHeader, std::uint64_t MaxBody);
+  /// request may have been read.
+  /// @param HeaderBytes at most MaxCallerHeaderBytes take effect.
+  /// @param BodyBytes at most MaxCallerBodyBytes take effect.
+  void setLimits(std::uint64_t HeaderBytes, std::uint64_t BodyBytes);
 
   request_reader(const request_reader &) = delete;
   request_reader &operator=(const request_reader &) = delete;
--- a/modules/clementine_settings/values/value_format.cpp
+++ b/modules/clementine_settings/values/value_format.cpp
@@ -64,6 +64,17 @@
   std::uint64_t Factor;
 };
 
+/// Parses what follows the whole part of @p Number, which ends at @p Point: a
+/// decimal point with digits, or nothing.
+std::optional<double> parseFraction(std::string_view Number,
+                                    std::size_t Point) {
+  if (Point == Number.size())
+    return 0.0;
+  if (Point + 1 == Number.size())
+    return std::nullopt;
+  return parseDecimal(Number.substr(Point));
+}
+
 /// Parses a number that is followed by one of the units. A decimal point has
 /// digits on both sides.
 template <std::size_t Size>
@@ -75,10 +86,7 @@
   const std::size_t Point = std::min(Number.find('.'), Length);
   const auto Count =
       value_format<std::uint64_t>::parse(Number.substr(0, Point));
-  std::optional<double> Fraction = 0.0;
-  if (Point < Length)
-    Fraction =
-        Point + 1 < Length ? parseDecimal(Number.substr(Point)) : std::nullopt;
+  const auto Fraction = parseFraction(Number, Point);
   if (!Count || !Fraction)
     return std::nullopt;
   for (const unit &Unit : Units)
--- a/tests/proxy/test_split_messages.cpp
+++ b/tests/proxy/test_split_messages.cpp
@@ -11,8 +11,13 @@
 constexpr std::uint64_t MaxHeader = 1024;
 constexpr std::uint64_t MaxBody = 64;
 
-/// The ways in which a body in chunks can end, each with its content.
-const std::vector<std::pair<std::string, std::string>> ChunkedBodies = {
+struct chunked_body {
+  std::string Bytes;
+  std::string Content;
+};
+
+/// The ways in which a body in chunks can end.
+const std::vector<chunked_body> ChunkedBodies = {
     {"0\r\n\r\n", ""},
     {"000\r\n\r\n", ""},
     {"0;e=1\r\n\r\n", ""},
@@ -62,28 +67,28 @@
 
 TEST_CASE("a request in chunks is read however it is split, also if its bytes "
           "are offered twice") {
-  for (const auto &[Body, Content] : ChunkedBodies) {
-    const std::string Bytes = requestWith(Body);
+  for (const chunked_body &Body : ChunkedBodies) {
+    const std::string Bytes = requestWith(Body.Bytes);
     CAPTURE(Bytes);
     forEachSplit(Bytes, [&](std::size_t First, std::size_t Second) {
       request_reader Reader(MaxHeader, MaxBody);
       REQUIRE(readInPieces(Reader, Bytes, First, Second) ==
               read_progress::Complete);
-      REQUIRE(Reader.take().Body == Content);
+      REQUIRE(Reader.take().Body == Body.Content);
     });
   }
 }
 
 TEST_CASE("an answer in chunks is read however it is split, also if its bytes "
           "are offered twice") {
-  for (const auto &[Body, Content] : ChunkedBodies) {
-    const std::string Bytes = responseWith(Body);
+  for (const chunked_body &Body : ChunkedBodies) {
+    const std::string Bytes = responseWith(Body.Bytes);
     CAPTURE(Bytes);
     forEachSplit(Bytes, [&](std::size_t First, std::size_t Second) {
       response_reader Reader(false, MaxBody);
       REQUIRE(readInPieces(Reader, Bytes, First, Second) ==
               read_progress::Complete);
-      REQUIRE(Reader.take().Body == Content);
+      REQUIRE(Reader.take().Body == Body.Content);
     });
   }
 }
--- a/tests/settings/test_settings_reader.cpp
+++ b/tests/settings/test_settings_reader.cpp
@@ -169,7 +169,11 @@
 
 // A deployment may state a figure as a fraction: review/14.
 TEST_CASE("a duration may be a fraction, whatever its unit") {
-  const std::vector<std::pair<std::string, duration>> Durations = {
+  struct valid_duration {
+    std::string Text;
+    duration Expected;
+  };
+  const std::vector<valid_duration> Durations = {
       {"6.5s", 6500ms},
       {"6.0s", 6s},
       {"0.3s", 300ms},
@@ -182,9 +186,9 @@
       {"1.5min", 90s},
       {"0.25h", 15min},
       {"2562047.788015215h", std::chrono::nanoseconds(9223372036854774000)}};
-  for (const auto &[Text, Expected] : Durations) {
-    CAPTURE(Text);
-    CHECK(value_format<duration>::parse(Text) == Expected);
+  for (const valid_duration &Each : Durations) {
+    CAPTURE(Each.Text);
+    CHECK(value_format<duration>::parse(Each.Text) == Each.Expected);
   }
   CHECK_FALSE(value_format<duration>::parse("2562047.788015216h"));
   CHECK_FALSE(value_format<duration>::parse("9223372036.9s"));
