--- a/extras/clementine_soak/soak.cpp
+++ b/extras/clementine_soak/soak.cpp
@@ -41,7 +41,9 @@
 void checkStillRunning(local_mesh &Mesh, soak_findings &Findings) {
   for (const std::string &Name : Mesh.machines())
     if (!Mesh.node(Name).isRunning() || Mesh.node(Name).exitCode())
-      Findings.add("unexpected exit", Name + " exited without being stopped");
+      Findings.add("unexpected exit",
+                   Name + " exited without being stopped, signal " +
+                       std::to_string(Mesh.node(Name).terminationSignal()));
 }
 
 void keepLogs(const local_mesh &Mesh, const soak_settings &Settings) {
