Sessions: a write ends for want of progress, not for its length

Cause: the limit was compared with the beginning of the write, and one write holds a whole answer.

Change: write_progress counts the bytes that the client has acknowledged; the connection is closed if none is for 10 s. A client that takes nothing is still cut off, now with a line in the log.

Failed before, with the limit measured from the beginning of the write: test_slow_readers (cut off after 6.8 of 12.6 MB).

--- a/modules/clementine_proxy/clementine_proxy.h
+++ b/modules/clementine_proxy/clementine_proxy.h
@@ -20,6 +20,7 @@
 #include "clementine_proxy/http/http_session.h"
 #include "clementine_proxy/http/message_reader.h"
 #include "clementine_proxy/http/messages.h"
+#include "clementine_proxy/http/write_progress.h"
 #include "clementine_proxy/model/boot_clock.h"
 #include "clementine_proxy/model/input_text.h"
 #include "clementine_proxy/model/instance_record.h"
--- a/modules/clementine_proxy/http/http_session.cpp
+++ b/modules/clementine_proxy/http/http_session.cpp
@@ -7,6 +7,7 @@
 #include "clementine_telemetry/clementine_telemetry.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
 
 #include <utility>
@@ -56,7 +57,8 @@
 http_session::http_session(tcp::socket Socket, http_handler &Handler)
     : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
       Handler(Handler), Limits(bounded(Handler.limits())),
-      Reader(Limits.MaxHeader, Limits.MaxBody), IdleSince(now()) {
+      Reader(Limits.MaxHeader, Limits.MaxBody), IdleSince(now()),
+      WriteProgress(this->Socket) {
   boost::system::error_code Ignored; // The option is not essential.
   this->Socket.set_option(tcp::no_delay(true), Ignored);
 }
@@ -191,10 +193,14 @@
   if (IsWriting || IsClosed)
     return;
   IsWriting = true;
-  WriteSince = now();
+  WriteProgress.begin(now());
   Sending.swap(Unsent);
   asio::async_write(
       Socket, asio::buffer(Sending),
+      [Self = shared_from_this()](const auto &Error, std::size_t Bytes) {
+        Self->WriteProgress.accepted(Bytes);
+        return asio::transfer_all()(Error, Bytes);
+      },
       [Self = shared_from_this()](const auto &Error, std::size_t /*Bytes*/) {
         Self->IsWriting = false;
         abandonOnFault([&] { Self->writeDone(Error); },
@@ -316,8 +322,10 @@
 
 void http_session::checkTimeouts() {
   const instant Now = now();
-  if (IsWriting && Now - WriteSince > WriteTimeout)
+  if (IsWriting && WriteProgress.stalledFor(Now) > WriteTimeout) {
+    log().info("closed: the client takes no bytes of its response");
     return disconnect();
+  }
   if (isBusy())
     return;
   if (Reader.hasPartialRequest()) {
--- a/modules/clementine_proxy/http/http_session.h
+++ b/modules/clementine_proxy/http/http_session.h
@@ -2,6 +2,7 @@
 #define CLEMENTINE_PROXY_HTTP_HTTP_SESSION_H
 
 #include "clementine_proxy/http/message_reader.h"
+#include "clementine_proxy/http/write_progress.h"
 #include "clementine_proxy/model/routing_config.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -51,7 +52,8 @@
   /// No further requests are parsed while at least this many response bytes
   /// wait for a slow client.
   static constexpr std::size_t MaxUnsentBytes = std::size_t{1} << 20U;
-  /// A write that takes longer than this closes the connection.
+  /// A connection whose client takes no bytes of a write for longer than this
+  /// is closed.
   static constexpr std::chrono::seconds WriteTimeout{10};
   /// How long the first request of a new connection is waited for when the
   /// connection is to be closed: the client may have sent it already.
@@ -116,7 +118,7 @@
   std::deque<std::shared_ptr<exchange>> Exchanges;
   instant IdleSince;
   instant HeaderSince;
-  instant WriteSince;
+  write_progress WriteProgress;
   bool IsReading = false;
   bool IsWriting = false;
   /// The connection is ended as soon as no request is in progress or expected.
