--- a/extras/stand_in_users_platform/app_instance.cpp
+++ b/extras/stand_in_users_platform/app_instance.cpp
@@ -142,12 +142,16 @@
       {"slots", Settings.Slots},     {"state", State},
       {"cold_remaining_ms", 0},      {"born", Settings.StartedAt},
       {"sequence", Number}};
+  return callNode("Heartbeat", Body.dump());
+}
+
+bool app_instance::callNode(const std::string &Call, const std::string &Body) {
   const auto Answer =
       Client.send("POST",
                   "http://" + Settings.Control.text() +
-                      "/clementinecove/Instances.Heartbeat/" + Settings.Id,
-                  {"Content-Type: application/json"}, Body.dump(),
-                  ReportTimeout, http_client::connection::SingleUse);
+                      "/clementinecove/Instances." + Call + "/" + Settings.Id,
+                  {"Content-Type: application/json"}, Body, ReportTimeout,
+                  http_client::connection::SingleUse);
   return Answer && Answer->Status == Ok;
 }
 
@@ -159,13 +163,7 @@
 bool app_instance::deregister() {
   ReportsPaused = true;
   const nlohmann::json Body = {{"born", Settings.StartedAt}};
-  const auto Answer =
-      Client.send("POST",
-                  "http://" + Settings.Control.text() +
-                      "/clementinecove/Instances.Deregister/" + Settings.Id,
-                  {"Content-Type: application/json"}, Body.dump(),
-                  ReportTimeout, http_client::connection::SingleUse);
-  return Answer && Answer->Status == Ok;
+  return callNode("Deregister", Body.dump());
 }
 
 void app_instance::sendReportsUntilStopped() {
--- a/extras/stand_in_users_platform/app_instance.h
+++ b/extras/stand_in_users_platform/app_instance.h
@@ -112,6 +112,9 @@
   bool makeSubCalls(const http_request &Request);
   bool report();
   bool report(const char *State, std::uint64_t Number);
+  /// Makes a call of the instances' interface.
+  /// @returns whether the node has confirmed.
+  bool callNode(const std::string &Call, const std::string &Body);
   void sendReportsUntilStopped();
 
   const app_instance_settings Settings;
--- a/tests/http/test_split_messages.cpp
+++ b/tests/http/test_split_messages.cpp
@@ -30,17 +30,17 @@
 
 /// An upstream that answers one request: with a head at once, and with a body
 /// byte by byte, of which it sends only a part.
-class dribbling_upstream {
+class piecewise_upstream {
 public:
-  dribbling_upstream(std::string Body, std::size_t SentBytes)
+  piecewise_upstream(std::string Body, std::size_t SentBytes)
       : Body(std::move(Body)), SentBytes(SentBytes),
         Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), 0}),
         Thread([this] { serve(); }) {}
 
-  ~dribbling_upstream() { Thread.join(); }
+  ~piecewise_upstream() { Thread.join(); }
 
-  dribbling_upstream(const dribbling_upstream &) = delete;
-  dribbling_upstream &operator=(const dribbling_upstream &) = delete;
+  piecewise_upstream(const piecewise_upstream &) = delete;
+  piecewise_upstream &operator=(const piecewise_upstream &) = delete;
 
   endpoint address() const {
     return {"127.0.0.1", Acceptor.local_endpoint().port()};
@@ -66,7 +66,7 @@
 };
 
 upstream_outcome outcomeOf(const std::string &Body, std::size_t SentBytes) {
-  dribbling_upstream Upstream(Body, SentBytes);
+  piecewise_upstream Upstream(Body, SentBytes);
   result_collector Collector;
   upstream_client Client({}, Collector);
   Client.start();
